Take one answer from a connection: bytes that follow it are no part of its body

An endpoint that sent its answer twice in one write had both bodies glued together and passed on as one 200, and the connection was used again. The first whole answer stands; the connection closes.

Ruled out: answers of another request (no body went to a wrong id), cut answers, the callers' side (the sizes grew in upstream).

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -355,6 +355,23 @@
     run(main())
 
 
+@pytest.mark.parametrize("extra", [answer(body=b"more"), answer(500), b"HTTP", b"nonsense"])
+def test_what_follows_an_answer_unasked_is_no_part_of_it(extra: bytes) -> None:
+    async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(answer() + extra)
+
+    async def main() -> None:
+        endpoint = Endpoint(reply)
+        async with sidecar(endpoint) as one:
+            for n in range(2):
+                back = await one.ask(request("pay", rid=f"r{n}"))
+                assert back.start.split()[1] == "200" and back.body == b"ok"
+                await endpoint.closed.acquire()  # nothing more is sent on it
+            assert endpoint.opened == len(endpoint.got) == 2
+
+    run(main())
+
+
 def test_a_refused_connection_never_ran() -> None:
     async def main() -> None:
         endpoint = Endpoint()
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -159,6 +159,9 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            # Bytes after a whole answer take nothing from it, but nobody asked
+            # for them: what follows on this connection can't be told apart.
+            self.keep = False
             self.fed = HEAD_MAX + 2 * BODY_MAX + 1
         if self.whole:
             self._finish()
@@ -166,6 +169,10 @@
             self.close()  # no answer of this protocol: it ends as a reset
             self._end(RESET)
 
+    def on_message_begin(self) -> None:
+        if self.whole:
+            raise ValueError("a second answer to one request")
+
     def on_header(self, name: bytes, value: bytes) -> None:
         lower = name.lower()
         if lower == b"x-load":
