--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -817,7 +817,7 @@
         process = await start(config(tmp_path, registry, **changes))
         out, errors = await process.communicate()
         assert process.returncode == 2 and out == b""
-        assert errors.count(b"\n") == 1 and errors.startswith(b"laurelstep: ")
+        assert errors.count(b"\n") == 1 and errors.startswith(b"woadyard: ")
 
     run(main())
 
@@ -827,6 +827,6 @@
         environ = {name: value for name, value in os.environ.items() if name != "LB_CONFIG"}
         process = await start(environ)
         _, errors = await process.communicate()
-        assert (process.returncode, errors) == (2, b"laurelstep: LB_CONFIG is not set\n")
+        assert (process.returncode, errors) == (2, b"woadyard: LB_CONFIG is not set\n")
 
     run(main())
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -111,7 +111,7 @@
         config = read_config(dict(os.environ))
         uvloop.run(serve(config))
     except ConfigError as error:
-        print(f"laurelstep: {error}", file=sys.stderr)
+        print(f"woadyard: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -47,7 +47,7 @@
             self.parser.feed_data(data)
             self._read()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
-            print(f"laurelstep: bad line from discovery: {error}", file=sys.stderr, flush=True)
+            print(f"woadyard: bad line from discovery: {error}", file=sys.stderr, flush=True)
             self.fail()
 
     def on_body(self, data: bytes) -> None:
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -379,7 +379,7 @@
                 if self.discovery is not None:
                     self.discovery.fetch()
             case Log(text):
-                print(f"laurelstep: {text}", file=sys.stderr, flush=True)
+                print(f"woadyard: {text}", file=sys.stderr, flush=True)
             case _:
                 raise TypeError(f"{action!r} is not of this deployment")
 
