--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -713,6 +713,30 @@
     run(main())
 
 
+@pytest.mark.parametrize(
+    ("sent", "expected"), [(b"\r\n", b""), (request("pay", b"sum")[:-1], b"HTTP/1.1 408 ")]
+)
+def test_who_brings_no_whole_request_is_ended_and_who_rests_is_not(
+    sent: bytes, expected: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with sidecar(endpoint) as one:
+            reader, writer = await one.connect()
+            writer.write(request())
+            await read_message(reader)
+            monkeypatch.setattr("woadyard.net.server.REQUEST_S", 0.01, raising=False)
+            silent, _ = await one.connect()
+            assert await silent.read() == b""
+            (caller,) = one.server.callers
+            assert not caller.over, "the connection at rest stays"
+            writer.write(sent)  # a request begun after a rest is owed as well
+            back = await reader.read()
+            assert back.startswith(expected) and bool(back) == bool(expected)
+
+    run(main())
+
+
 def test_ready_does_not_wait_for_discovery() -> None:
     async def main() -> None:
         async with sidecar(known=False) as one:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -18,6 +18,9 @@
 
 READY_PATH = b"/health/ready"
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+# How long a connection may take to bring a whole request, from its start or from
+# the request's first byte. Anyone may connect; who brings none by 3 s is owed an end.
+REQUEST_S = 2.5
 # How long a refused connection may take to read its 4xx before it is cut.
 LINGER_S = 1.0
 # New connections come for this long after SIGTERM, and a last one gets this
@@ -71,16 +74,19 @@
         self.parser = httptools.HttpRequestParser(self)
         self.fed = 0  # bytes since the last whole request
         self.paused = False
+        self.patience: asyncio.TimerHandle | None = None  # runs while a request is owed
         self.on_message_begin()
         self.reading = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.server.joined(self)
+        self._wait()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.over = True
         self.waiting.clear()
+        self._wait()
         if self.call is not None:
             self.server.driver.gone(self.call)
             self.call = None
@@ -108,6 +114,24 @@
             self.refuse(error)
         else:
             self.next()
+        self._wait()
+
+    def _wait(self) -> None:
+        """Keep the time while the caller owes a request. Further bytes of it
+        don't prolong that: one that drips would never end."""
+        owed = not (self.over or self.call or self.waiting or self in self.server.resting)
+        if owed and self.patience is None:
+            self.patience = self.server.driver.loop.call_later(REQUEST_S, self._out_of_patience)
+        elif not owed and self.patience is not None:
+            self.patience.cancel()
+            self.patience = None
+
+    def _out_of_patience(self) -> None:
+        self.patience = None
+        if self.reading:
+            self.refuse(BadRequestError(408, "the request did not come whole in time"))
+        else:
+            self.server.close(self)
 
     def on_message_begin(self) -> None:
         self.target = b""
@@ -216,6 +240,7 @@
             self.transport.close()
         elif self.idle():
             self.server.resting[self] = None
+        self._wait()
 
     def refuse(self, error: BadRequestError) -> None:
         """A plain 4xx, then the end. What is still coming is read and dropped for
@@ -261,7 +286,7 @@
         # Guards the limit on sockets. One that has brought no request yet is never
         # closed: its first may be on its way, and a client sends it anew only once.
         if len(self.callers) + len(self.driver.upstream.links) >= self.most and self.resting:
-            self._close(next(iter(self.resting)))
+            self.close(next(iter(self.resting)))
         self.callers.add(caller)
         self.last_joined = self.driver.loop.time()
 
@@ -277,11 +302,11 @@
             return
         self.stopping, self.on_end = True, on_end
         for caller in list(self.resting):
-            self._close(caller)
+            self.close(caller)
         loop = self.driver.loop
         loop.call_later(ACCEPT_S, self._stop_listening, loop.time() + ACCEPT_S)
 
-    def _close(self, caller: Caller) -> None:
+    def close(self, caller: Caller) -> None:
         self.resting.pop(caller, None)
         caller.over = True
         if caller.transport is not None:
@@ -297,6 +322,6 @@
         self.listener.close()
         self.listener = None
         for caller in [one for one in self.callers if one.idle()]:
-            self._close(caller)
+            self.close(caller)
         if not self.callers:
             self.on_end()
