Close callers that rest long, and have them give way before endpoint connections

Health checks come every 90 ms on a new connection and leave it open (traced). They rested for ever; at the limit each new attempt closed an idle endpoint connection, or failed unsent. Callers at rest now go after 5 s, and first.

Ruled out: callers that bring no request (their end changed nothing).

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -713,6 +713,48 @@
     run(main())
 
 
+def test_a_caller_at_rest_gives_way_to_an_attempt_before_an_idle_connection_does() -> None:
+    async def main() -> None:
+        first, second = Endpoint(), Endpoint(hold)
+        async with sidecar(first, second) as one:
+            resting, writer = await one.connect()
+            writer.write(b"GET /health/ready HTTP/1.1\r\n\r\n")
+            assert (await read_message(resting)).start.startswith("HTTP/1.1 200")
+            one.told(first.entry("s-0"))
+            await one.ask(request())
+            one.told(first.entry("s-0"), second.entry("s-1"))
+            vars(one.driver.balancer)["_pick"] = lambda now, req: one.driver.balancer.endpoints[
+                endpoint_number("s-1")
+            ]
+            one.upstream.others, one.upstream.give_way = lambda: len(one.server.callers), one.server.give_way
+            while len(one.server.callers) > 1:  # the one that asked has closed
+                await asyncio.sleep(0)
+            _, asker = await one.connect()
+            while len(one.server.callers) < 2:
+                await asyncio.sleep(0)
+            one.upstream.most = len(one.upstream.links) + len(one.server.callers)
+            asker.write(request(rid="r2"))
+            await second.arrived.acquire()
+            assert await resting.read() == b""
+            assert one.upstream.pools[endpoint_number("s-0")].idle, "an endpoint's connection is dearer"
+
+    run(main())
+
+
+def test_a_caller_that_rests_long_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("woadyard.net.server.REST_S", 0.01, raising=False)
+
+    async def main() -> None:
+        async with sidecar(Endpoint()) as one:
+            for _ in range(2):
+                reader, writer = await one.connect()
+                writer.write(b"GET /health/ready HTTP/1.1\r\n\r\n")
+                assert (await reader.read()).startswith(b"HTTP/1.1 200 "), "whole, then the end"
+            assert not one.server.resting
+
+    run(main())
+
+
 @pytest.mark.parametrize(
     ("sent", "expected"), [(b"\r\n", b""), (request("pay", b"sum")[:-1], b"HTTP/1.1 408 ")]
 )
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -113,7 +113,7 @@
     except ValueError as error:
         raise ConfigError(f"known: {error}") from None
     server = Server(driver, most)
-    upstream.others = lambda: len(server.callers)
+    upstream.others, upstream.give_way = lambda: len(server.callers), server.give_way
     try:
         await server.listen(*config.listen)
     except OSError as error:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -21,6 +21,9 @@
 # How long a connection may take to bring a whole request, from its start or from
 # the request's first byte. Anyone may connect; who brings none by 3 s is owed an end.
 REQUEST_S = 2.5
+# How long a connection is kept between requests. Health checks come on a new one
+# each time and leave it open; the clients' own are used again well within this.
+REST_S = 5.0
 # How long a refused connection may take to read its 4xx before it is cut.
 LINGER_S = 1.0
 # New connections come for this long after SIGTERM, and a last one gets this
@@ -239,7 +242,7 @@
             self.over = True
             self.transport.close()
         elif self.idle():
-            self.server.resting[self] = None
+            self.server.rest(self)
         self._wait()
 
     def refuse(self, error: BadRequestError) -> None:
@@ -271,7 +274,8 @@
     def __init__(self, driver: Driver, most: int = 512) -> None:
         self.driver, self.most = driver, most  # sockets of both sides
         self.callers: set[Caller] = set()
-        self.resting: dict[Caller, None] = {}  # between requests, the longest first
+        self.resting: dict[Caller, float] = {}  # between requests since, the longest first
+        self.sweeping: asyncio.TimerHandle | None = None
         self.stopping = False
         self.listener: asyncio.Server | None = None
         self.last_joined = 0.0
@@ -285,8 +289,8 @@
     def joined(self, caller: Caller) -> None:
         # Guards the limit on sockets. One that has brought no request yet is never
         # closed: its first may be on its way, and a client sends it anew only once.
-        if len(self.callers) + len(self.driver.upstream.links) >= self.most and self.resting:
-            self.close(next(iter(self.resting)))
+        if len(self.callers) + len(self.driver.upstream.links) >= self.most:
+            self.give_way()
         self.callers.add(caller)
         self.last_joined = self.driver.loop.time()
 
@@ -296,6 +300,28 @@
         if self.stopping and self.listener is None and not self.callers:
             self.on_end()
 
+    def rest(self, caller: Caller) -> None:
+        self.resting[caller] = self.driver.loop.time()
+        if self.sweeping is None:
+            self.sweeping = self.driver.loop.call_later(REST_S, self._sweep)
+
+    def give_way(self) -> None:
+        """One socket less: the caller longest at rest."""
+        if self.resting:
+            caller = next(iter(self.resting))
+            self.close(caller)
+            self.callers.discard(caller)
+
+    def _sweep(self) -> None:
+        """Drop who rested too long; one timer serves all connections."""
+        self.sweeping = None
+        loop = self.driver.loop
+        for caller, since in list(self.resting.items()):
+            if since + REST_S > loop.time():
+                self.sweeping = loop.call_at(since + REST_S, self._sweep)
+                break
+            self.close(caller)
+
     def stop(self, on_end: Callable[[], None]) -> None:
         """SIGTERM: serve what comes while it comes, then finish and end."""
         if self.stopping:
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -236,6 +236,7 @@
         self.connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
         self.most = most  # sockets of both sides
         self.others: Callable[[], int] = lambda: 0  # those of the callers
+        self.give_way: Callable[[], None] = lambda: None  # asks them for one
         self.pools: dict[int, Pool] = {}
         self.links: set[Link] = set()
         self.sweeping: asyncio.TimerHandle | None = None
@@ -269,6 +270,9 @@
         self._open(pool, attempt)
 
     def _open(self, pool: Pool, attempt: Attempt) -> None:
+        # Callers at rest go first: a new connection costs them less than an endpoint.
+        if len(self.links) + self.others() >= self.most:
+            self.give_way()
         if len(self.links) + self.others() >= self.most:
             self._drop_oldest()
         if len(self.links) + self.others() >= self.most:
