--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -717,10 +717,10 @@
     async def main() -> None:
         first, second = Endpoint(), Endpoint(hold)
         async with sidecar(first, second) as one:
-            resting, writer = await one.connect()
-            writer.write(b"GET /health/ready HTTP/1.1\r\n\r\n")
-            assert (await read_message(resting)).start.startswith("HTTP/1.1 200")
             one.told(first.entry("s-0"))
+            resting, writer = await one.connect()
+            writer.write(request(rid="r0"))
+            await read_message(resting)
             await one.ask(request())
             one.told(first.entry("s-0"), second.entry("s-1"))
             vars(one.driver.balancer)["_pick"] = lambda now, req: one.driver.balancer.endpoints[
@@ -746,15 +746,26 @@
 
     async def main() -> None:
         async with sidecar(Endpoint()) as one:
-            for _ in range(2):
+            for n in range(2):
                 reader, writer = await one.connect()
-                writer.write(b"GET /health/ready HTTP/1.1\r\n\r\n")
+                writer.write(request(rid=f"r{n}"))
                 assert (await reader.read()).startswith(b"HTTP/1.1 200 "), "whole, then the end"
             assert not one.server.resting
 
     run(main())
 
 
+def test_a_health_check_is_answered_and_its_connection_ended() -> None:
+    async def main() -> None:
+        async with sidecar(Endpoint()) as one:
+            reader, writer = await one.connect()
+            writer.write(b"GET /health/ready HTTP/1.1\r\n\r\n")
+            back = await reader.read()
+            assert back.startswith(b"HTTP/1.1 200 ") and b"\r\nConnection: close\r\n" in back
+
+    run(main())
+
+
 @pytest.mark.parametrize(
     ("sent", "expected"), [(b"\r\n", b""), (request("pay", b"sum")[:-1], b"HTTP/1.1 408 ")]
 )
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -21,8 +21,7 @@
 # How long a connection may take to bring a whole request, from its start or from
 # the request's first byte. Anyone may connect; who brings none by 3 s is owed an end.
 REQUEST_S = 2.5
-# How long a connection is kept between requests. Health checks come on a new one
-# each time and leave it open; the clients' own are used again well within this.
+# How long a connection is kept between requests: clients use theirs again well within this.
 REST_S = 5.0
 # How long a refused connection may take to read its 4xx before it is cut.
 LINGER_S = 1.0
@@ -169,7 +168,9 @@
         if self.over:
             return
         asked = self._asked()
-        self.waiting.append((asked, self.parser.should_keep_alive()))
+        # A health check comes on a connection of its own; kept, they add up.
+        keep = isinstance(asked, Call) and self.parser.should_keep_alive()
+        self.waiting.append((asked, keep))
         self.in_body, self.reading, self.fed = False, False, 0
 
     def _asked(self) -> Call | Answer:
