--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -463,7 +463,7 @@
             vars(one.driver.balancer)["request"] = broken
             assert (await one.ask(request())).start.split()[1] == "500"
             vars(one.driver.balancer)["request"] = real
-            assert (await one.ask(request())).body == b"ok"
+            assert (await one.ask(request(rid="r2"))).body == b"ok"
 
     run(main())
     assert "broken" in capsys.readouterr().err
@@ -627,8 +627,32 @@
         (request("pay", b"x" * (64 * 1024 + 1)), "413"),
         (request(headers="X-Long: " + "x" * (70 * 1024) + "\r\n"), "431"),
         (request().replace(b"GET", b"DELETE"), "405"),
+        (request().replace(b"GET", b"POST"), "405"),
+        (request("pay").replace(b"POST", b"GET"), "405"),
+        (request("pay", headers="Idempotency-Key: k1\r\n"), "400"),
+        (request().replace(b"X-Class: page", b"X-Class: pay"), "400"),
+        (request().replace(b"X-Request-Id: r1\r\n", b""), "400"),
+        (request(rid=""), "400"),
+        (request(rid="r" * 129), "400"),
+        (request(headers="X-Request-Id: r2\r\n"), "400"),
+    ],
+    ids=[
+        "nonsense",
+        "class",
+        "key",
+        "deadline",
+        "body",
+        "head",
+        "method",
+        "unsafe-get",
+        "safe-post",
+        "unsafe-key",
+        "other-class",
+        "no-id",
+        "empty-id",
+        "long-id",
+        "two-ids",
     ],
-    ids=["nonsense", "class", "key", "deadline", "body", "head", "method"],
 )
 def test_a_bad_request_gets_a_plain_4xx_and_the_connection_closed(raw: bytes, expected: str) -> None:
     async def main() -> None:
@@ -646,6 +670,21 @@
     run(main())
 
 
+def test_an_id_is_for_one_request() -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with sidecar(endpoint) as one:
+            assert (await one.ask(request("pay", b"sum"))).body == b"ok"
+            for again in (request("pay", b"sum"), request(), request("pay", headers="X-Retry: 1\r\n")):
+                assert (await one.ask(again)).start.split()[1] == "409"
+            assert len(endpoint.got) == 1
+            one.server.ids[b"r1"] -= 60.0
+            assert (await one.ask(request("pay", rid="r2"))).body == b"ok"
+            assert list(one.server.ids) == [b"r2"], "forgotten after its time"
+
+    run(main())
+
+
 def test_a_whole_request_before_a_bad_one_is_served() -> None:
     async def main() -> None:
         async with sidecar(Endpoint()) as one:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from woadyard.interface import SAFE
 from woadyard.net.message import BODY_MAX, HEAD_MAX, Answer, Call, Headers, pass_on
 
 if TYPE_CHECKING:
@@ -29,6 +30,8 @@
 # long to bring its request.
 ACCEPT_S, LAST_S = 0.4, 0.15
 MAX_U63 = 2**63
+# Ids of requests are remembered for this long, longer than any of them runs.
+IDS_S, ID_MAX = 30.0, 128
 
 
 class BadRequestError(Exception):
@@ -182,15 +185,21 @@
         if method not in (b"GET", b"POST"):
             raise BadRequestError(405, "GET and POST only")
         driver = self.server.driver
-        name = headers.get(b"x-class") or path.split(b"/")[1] if path.startswith(b"/") else b""
+        name = path.split(b"/")[1] if path.startswith(b"/") else b""
         cls = driver.names.classes.get(name.decode("latin-1"))
         if cls is None:
             raise BadRequestError(404, "unknown class")
-        if driver.names.keyed[cls] and b"idempotency-key" not in headers:
-            raise BadRequestError(400, "Idempotency-Key is missing")
+        if headers.get(b"x-class", name) != name:
+            raise BadRequestError(400, "X-Class is not the path's")
+        if (method == b"GET") != (driver.settings.classes[cls].effect == SAFE):
+            raise BadRequestError(405, "the class has the other method")
+        if driver.names.keyed[cls] != (b"idempotency-key" in headers):
+            raise BadRequestError(400, "Idempotency-Key is missing, or not of the class")
         wait_ms = number(headers, b"x-deadline-ms")
         wait_us = driver.settings.classes[cls].deadline_us if wait_ms is None else wait_ms * 1000
         tenant = headers.get(b"x-tenant", b"").decode("latin-1")
+        ids = [value for key, value in self.headers if key.lower() == b"x-request-id"]
+        self.server.claim(ids[0] if len(ids) == 1 else b"")
         return Call(
             cls=cls,
             expires=driver.now() + wait_us,
@@ -277,11 +286,24 @@
         self.callers: set[Caller] = set()
         self.resting: dict[Caller, float] = {}  # between requests since, the longest first
         self.sweeping: asyncio.TimerHandle | None = None
+        self.ids: dict[bytes, float] = {}  # of requests taken, the oldest first
         self.stopping = False
         self.listener: asyncio.Server | None = None
         self.last_joined = 0.0
         self.on_end: Callable[[], None] = lambda: None
 
+    def claim(self, name: bytes) -> None:
+        """An id is for one request. Guards the endpoints against stray copies: one
+        that runs twice breaks a rule, and an answer to it would blame who gave it."""
+        if not 0 < len(name) <= ID_MAX:
+            raise BadRequestError(400, "X-Request-Id is missing, doubled or too long")
+        now = self.driver.loop.time()
+        while self.ids and (oldest := next(iter(self.ids.items())))[1] <= now - IDS_S:
+            del self.ids[oldest[0]]
+        if name in self.ids:
+            raise BadRequestError(409, "X-Request-Id was taken before")
+        self.ids[name] = now
+
     async def listen(self, host: str, port: int) -> int:
         loop = self.driver.loop
         self.listener = await loop.create_server(lambda: Caller(self), host, port, backlog=1024)
