Let the floor on held requests grow with the endpoints that fall to a copy

A copy refused from nine requests held, whatever it had to send them to. Six for each endpoint that falls to the copy, shared out, are no queue there.

Ruled out: the share let through (2.19, never shedding) and full endpoints (none).

--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -114,10 +114,10 @@
 CALM_LOOKS = 2
 # Good results save up as much as one bad one takes: heavy work refuses nobody.
 ADMIT_ROOM = ADMIT_RISE ** (ADMIT_GOOD / (1.0 - ADMIT_GOOD) / ADMIT_SAMPLES)
-# So many for each endpoint that falls to a copy are always let through, HELD_FEW at
-# least, once answers are slow: where copies are many, eight for each of them would be
-# a standing queue by itself. While answers are quick, small counts tell nothing.
-HELD_MIN, HELD_FEW = 8, 2
+# HELD_EACH for each endpoint that falls to a copy are always let through: shared out,
+# they are no queue there, however few endpoints make for small counts. HELD_FEW is the
+# least where copies are many, and HELD_MIN while answers are quick.
+HELD_EACH, HELD_MIN, HELD_FEW = 6, 8, 2
 # Rise per look of what a request is taken to take unloaded: slow, so that a
 # long queue does not soon pass for usual, but a changed service does in time.
 BASE_RISE = 0.01
@@ -382,7 +382,7 @@
         # seen for two.
         self.standing |= self.settled and now - self.calm_at > memory
         self.standing &= now - self.busy_at < 2.0 * memory
-        least = self.least if self.calm > HELD_OVER * self.base else HELD_MIN
+        least = self.least if self.calm > HELD_OVER * self.base else max(HELD_MIN, self.least)
         if not self.settled or held <= max(least, tight if self.standing else loose):
             return False
         self.bounded = now
@@ -544,7 +544,7 @@
         copies, and in the right groups too. An endpoint that an edge cuts
         stands in the group with the share that lies inside.
         """
-        self.admission.least = min(HELD_MIN, max(HELD_FEW, HELD_MIN * len(self.ring) / self.s.instances))
+        self.admission.least = max(HELD_FEW, HELD_EACH * len(self.ring) / self.s.instances)
         near = self.ring
         if self.s.zones > 1 and self.s.cross_zone_price > 0.0:
             near = [pair for pair in self.ring if pair[1].zone == self.s.zone]
