Bound the floor on held requests, and lower it while a queue stands

Now eight for each endpoint that falls to a copy, 24 at most, and three quarters of that while a queue stands.

--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -114,10 +114,12 @@
 CALM_LOOKS = 2
 # Good results save up as much as one bad one takes: heavy work refuses nobody.
 ADMIT_ROOM = ADMIT_RISE ** (ADMIT_GOOD / (1.0 - ADMIT_GOOD) / ADMIT_SAMPLES)
-# HELD_EACH for each endpoint that falls to a copy are always let through: shared out,
-# they are no queue there, however few endpoints make for small counts. HELD_FEW is the
-# least where copies are many, and HELD_MIN while answers are quick.
-HELD_EACH, HELD_MIN, HELD_FEW = 6, 8, 2
+# HELD_EACH for each endpoint that falls to a copy are always let through, HELD_MOST at
+# most, as large counts tell enough, and this part of them while a queue stands: shared
+# out, they choke nobody. HELD_FEW is the least where copies are many, HELD_MIN while
+# answers are quick.
+HELD_EACH, HELD_MOST, HELD_PART = 8, 24, 0.75
+HELD_MIN, HELD_FEW = 8, 2
 # Rise per look of what a request is taken to take unloaded: slow, so that a
 # long queue does not soon pass for usual, but a changed service does in time.
 BASE_RISE = 0.01
@@ -382,7 +384,10 @@
         # seen for two.
         self.standing |= self.settled and now - self.calm_at > memory
         self.standing &= now - self.busy_at < 2.0 * memory
-        least = self.least if self.calm > HELD_OVER * self.base else max(HELD_MIN, self.least)
+        least = max(
+            HELD_FEW if self.calm > HELD_OVER * self.base else HELD_MIN,
+            self.least * (HELD_PART if self.standing else 1.0),
+        )
         if not self.settled or held <= max(least, tight if self.standing else loose):
             return False
         self.bounded = now
@@ -544,7 +549,7 @@
         copies, and in the right groups too. An endpoint that an edge cuts
         stands in the group with the share that lies inside.
         """
-        self.admission.least = max(HELD_FEW, HELD_EACH * len(self.ring) / self.s.instances)
+        self.admission.least = min(HELD_MOST, HELD_EACH * len(self.ring) / self.s.instances)
         near = self.ring
         if self.s.zones > 1 and self.s.cross_zone_price > 0.0:
             near = [pair for pair in self.ring if pair[1].zone == self.s.zone]
