Break the circles of calls, attempts and parsers, so that memory stays flat

A call and its attempts named each other, and so did a connection and its parser: each request left garbage that only the collector frees, and that runs after 50,000 allocations.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import os
 import signal
 import socket
 import sys
+from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -50,7 +52,9 @@
     Refuse,
 )
 from woadyard.net.driver import Driver, endpoint_number
-from woadyard.net.server import key_of
+from woadyard.net.message import Call
+from woadyard.net.server import Caller, key_of
+from woadyard.net.upstream import Attempt, Link
 
 
 def outcomes(one: Sidecar) -> list[Outcome]:
@@ -844,6 +848,32 @@
     assert key_of(b"obj=no-number") == key_of(b"obj=no-number") != 0
 
 
+def test_what_is_over_is_freed_without_the_collector() -> None:
+    """Circles of garbage wait for the collector, and a day's memory grew by them."""
+
+    async def refuse(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(answer(500, headers="Connection: close\r\n"))
+
+    async def main() -> None:
+        async with sidecar(Endpoint(), Endpoint(refuse)) as one:
+            for n in range(20):
+                await one.ask(request(rid=f"r{n}"))
+            while one.server.callers:
+                await asyncio.sleep(0)
+            for _ in range(5):
+                await asyncio.sleep(0)  # what the loop still holds
+            kinds = (Call, Attempt, Caller, Link)
+            left = Counter(type(one).__name__ for one in gc.get_objects() if isinstance(one, kinds))
+            assert set(left) <= {"Link"} and left["Link"] <= len(one.upstream.links)
+
+    gc.collect()
+    gc.disable()
+    try:
+        run(main())
+    finally:
+        gc.enable()
+
+
 # --- The process ------------------------------------------------------------------------
 
 
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -299,6 +299,8 @@
     def _drop(self, call: Call) -> None:
         if not call.open and not any(attempt.out for attempt in call.attempts):
             self.calls.pop(call.id, None)
+            # They name each other: without this only the collector would free them.
+            call.attempts.clear()
 
     # --- Attempts ---------------------------------------------------------------------
 
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -96,6 +96,7 @@
             self.server.driver.gone(self.call)
             self.call = None
         self.server.left(self)
+        del self.parser  # it holds the caller in turn
 
     # --- Reading --------------------------------------------------------------------
 
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -143,6 +143,7 @@
             self.pool.idle.remove(self)
         self.owner.gone(self)
         self._end(NO_CONNECT if self.unwritten else RESET)
+        del self.parser  # it holds the link in turn
 
     def _end(self, outcome: int, answer: Answer | None = None) -> None:
         attempt, self.attempt = self.attempt, None
