Keep callers' connections after SIGTERM while there is time to answer

At SIGTERM callers at rest were closed and the process ended 0.77 s later. Connections are now kept until 1 s is left, and what came after SIGTERM has its answer 0.3 s before the SIGKILL.

--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -29,6 +29,11 @@
 # New connections come for this long after SIGTERM, and a last one gets this
 # long to bring its request.
 ACCEPT_S, LAST_S = 0.4, 0.15
+# SIGKILL follows SIGTERM no sooner than the longest deadline, counted as 3 s at
+# most, and 0.7 s. What was taken after SIGTERM is answered this long before that,
+# and callers' connections are kept until this much time is left for it.
+DEADLINE_MOST_S, KILL_S = 3.0, 0.7
+ANSWERED_S, ANSWER_S = 0.3, 1.0
 MAX_U63 = 2**63
 # Ids of requests are remembered for this long, longer than any of them runs.
 IDS_S, ID_MAX = 30.0, 128
@@ -203,7 +208,7 @@
         self.server.claim(ids[0] if len(ids) == 1 else b"")
         return Call(
             cls=cls,
-            expires=driver.now() + wait_us,
+            expires=min(driver.now() + wait_us, self.server.answered_by),
             start=method + b" " + self.target,
             head=pass_on(self.headers),
             body=b"".join(self.body),
@@ -242,7 +247,7 @@
     def _write(self, answer: Answer) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        keep = self.keep and not self.server.stopping
+        keep = self.keep and not self.server.closing
         reason = REASONS.get(answer.status, b"")
         close = b"" if keep else b"Connection: close\r\n"
         self.transport.write(
@@ -288,7 +293,9 @@
         self.resting: dict[Caller, float] = {}  # between requests since, the longest first
         self.sweeping: asyncio.TimerHandle | None = None
         self.ids: dict[bytes, float] = {}  # of requests taken, the oldest first
-        self.stopping = False
+        self.stopping = False  # told to
+        self.closing = False  # no connection is kept any more
+        self.answered_by = MAX_U63  # on the driver's clock, µs
         self.listener: asyncio.Server | None = None
         self.last_joined = 0.0
         self.on_end: Callable[[], None] = lambda: None
@@ -347,14 +354,25 @@
             self.close(caller)
 
     def stop(self, on_end: Callable[[], None]) -> None:
-        """SIGTERM: serve what comes while it comes, then finish and end."""
+        """SIGTERM: serve what comes while it comes, then finish and end.
+
+        Connections are kept meanwhile: where sidecars restart in turn, the next
+        one may not be up yet, and callers have nowhere else to go.
+        """
         if self.stopping:
             return
         self.stopping, self.on_end = True, on_end
-        for caller in list(self.resting):
-            self.close(caller)
-        loop = self.driver.loop
+        driver, loop = self.driver, self.driver.loop
+        deadline_s = max(one.deadline_us for one in driver.settings.classes) / 1e6
+        answered_s = min(DEADLINE_MOST_S, deadline_s) + KILL_S - ANSWERED_S
+        self.answered_by = driver.now() + round(answered_s * 1e6)
         loop.call_later(ACCEPT_S, self._stop_listening, loop.time() + ACCEPT_S)
+        loop.call_later(max(ACCEPT_S + LAST_S, answered_s - ANSWER_S), self._stop_keeping)
+
+    def _stop_keeping(self) -> None:
+        self.closing = True
+        for caller in [one for one in self.callers if one.idle()]:
+            self.close(caller)
 
     def close(self, caller: Caller) -> None:
         self.resting.pop(caller, None)
@@ -371,7 +389,5 @@
         assert self.listener is not None
         self.listener.close()
         self.listener = None
-        for caller in [one for one in self.callers if one.idle()]:
-            self.close(caller)
         if not self.callers:
             self.on_end()
