Tell the module that a want of sockets is no fault of the endpoint

An attempt that found no free socket was told as NO_CONNECT, so the sidecar's own limit lowered the health of whichever endpoint was drawn. It is MOOT now: never ran, nobody's fault.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -618,6 +618,20 @@
     run(main())
 
 
+def test_want_of_a_socket_is_no_fault_of_the_endpoint() -> None:
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with sidecar(endpoint, ceilings={"max-attempts": 1}) as one:
+            told = outcomes(one)
+            one.upstream.most = 0
+            assert (await one.ask(request("pay"))).start.split()[1] == "503"
+            assert [event.outcome for event in told] == [MOOT] and not endpoint.got
+            (known,) = one.driver.balancer.endpoints.values()
+            assert all(health == 1.0 for health, _, _ in known.health)
+
+    run(main())
+
+
 # --- Callers ----------------------------------------------------------------------------
 
 
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -277,7 +277,7 @@
         if len(self.links) + self.others() >= self.most:
             self._drop_oldest()
         if len(self.links) + self.others() >= self.most:
-            self.ended(attempt, NO_CONNECT, None, b"")
+            self.ended(attempt, MOOT, None, b"")  # for want of a socket: no endpoint's fault
             return
         link = attempt.link = Link(self, pool, attempt)
         self.links.add(link)
