Replace a silent watch within the 6 s in which a drain counts as told

With lists, sends and outcomes logged on every copy, 16 of some 50 watches fell silent; the copies heard of it 5.0 s later and asked again 1.3 to 3.6 s after that. Up to 8.75 s pass so, and what discovery has to tell counts as told after 6 s. Ruled out: a list read wrongly or an old one believed (each list applied as told, the generations only rose); discovery slow to answer (a call took 0.2 to 0.94 s, one in 0.19 s); sends past the driver's grace (none within 6 s of the change). At fault: SILENT_S in net/discovery.py, and the pause after LIST_FAILED in Balancer.members, a fixed share of ask-within with no regard to the first failure. Now: 2.5 s of silence, then up to 1 s, doubled by each failure in a row up to 4 s.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -195,6 +195,23 @@
     assert len(balancer.ring) == 6
 
 
+def pause(copy: Balancer) -> int:
+    (action,) = copy.members(0, LIST_FAILED, [])
+    assert isinstance(action, Timer)
+    return action.delay_us
+
+
+def test_discovery_is_asked_again_soon_and_by_copies_apart() -> None:
+    """What it has to tell counts as told after 6 s; 2.5 s of them pass in silence."""
+    copies = [Balancer(seed, replace(SETTINGS, asks_discovery=True)) for seed in range(40)]
+    first, *_, last = waits = [sorted(pause(copy) for copy in copies) for _ in range(8)]
+    assert first[-1] <= SECOND and first[-1] - first[0] > SECOND // 2
+    assert last[-1] > 3 * SECOND and all(some[-1] <= 4 * SECOND for some in waits)
+    for copy in copies:
+        copy.members(0, LIST_DELTA, [])
+    assert all(pause(copy) <= SECOND for copy in copies)
+
+
 ORDERED = RequestClass(UNSAFE, aim_us=500 * MS, deadline_us=SECOND, sequential=True)
 IN_ORDER = replace(SETTINGS, classes=(ORDERED, replace(ORDERED, effect=SAFE)), key_rest_us=50 * MS)
 
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -10,9 +10,10 @@
 
 import httptools
 
-# While nothing changes an empty line comes every 2 s: after two missed ones the
-# watch is taken for dead, as a network that is cut off says nothing.
-SILENT_S = 5.0
+# While nothing changes an empty line comes every 2 s: soon after a missed one the
+# watch is taken for dead, as a network that is cut off says nothing. What changes
+# meanwhile counts as told after 6 s, and the next call may be lost as well.
+SILENT_S = 2.5
 RETRY_S, RETRY_MOST_S = 0.1, 2.0
 CONNECT_S = 2.0
 LINE_MAX = 16 * 1024 * 1024
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -80,6 +80,8 @@
 # Pause before asking again for an endpoint when none may be drawn, as a share
 # of the class's aim.
 HOLD_SHARE = 0.02
+# Discovery is asked again within this part of the time it may go unasked, doubled by failures.
+ASK_AGAIN, ASK_MOST = 0.1, 0.4
 
 BLAME = {
     ERROR: BLAME_ERROR,
@@ -443,7 +445,7 @@
         self.endpoints: dict[int, Endpoint] = {}
         self.ring: Ring = []
         self.groups: list[Group] = []
-        self.arc_size, self.depth = 1.0, 1
+        self.arc_size, self.depth, self.unheard = 1.0, 1, 0  # calls to discovery failed in a row
         self.requests: dict[int, Request] = {}
         self.ended: dict[int, Request] = {}  # over, but with attempts still out
         self.turns: dict[int, Turn] = {}
@@ -482,18 +484,18 @@
         self.sends, self.served = Rate(self.rate_memory, now), Rate(self.rate_memory, now)
         if self.s.asks_discovery:
             # Copies started together must not ask together.
-            spread = self.rng.random() * self.s.ask_within_us / 4
-            self._timer(TIMER_WATCH, 0, int(spread))
+            self._timer(TIMER_WATCH, 0, int(self.rng.random() * self.s.ask_within_us / 4))
         return self._taken(now)
 
     def members(self, now: int, mode: int, entries: Sequence[Entry]) -> list[Action]:
         if mode == LIST_FAILED:
-            # Guards against a lost subscription: ask again, spread out.
+            # Guards drains, told or not while nobody listens; failures in a row spread copies.
             if self.s.asks_discovery:
-                spread = (0.5 + self.rng.random()) * self.s.ask_within_us / 4
-                self._timer(TIMER_WATCH, 0, int(spread))
+                spread = min(ASK_MOST, ASK_AGAIN * 2.0**self.unheard) * self.s.ask_within_us
+                self._timer(TIMER_WATCH, 0, int(spread * self.rng.random()))
+                self.unheard += 1
             return self._taken(now)
-        changed = False
+        self.unheard, changed = 0, False
         if mode != LIST_DELTA:
             named = {entry.endpoint for entry in entries}
             for endpoint in list(self.endpoints.values()):
