Clip outliers in the usual latency, so that choked endpoints stand out

A fresh endpoint that answered in 0.1 s passed for merely usual, a choked one for little slower, and nothing was taken for frozen before 1.3 to 3 s. With 40 copies each has one or two answers a second from an endpoint. Ruled out: late lists (every copy had each change within 0.4 s), refusals from broken connections (none), queue reports by probes (3,966 answers, all waiting=0). At fault: Latency.add, which took each answer whole. Now an answer adds two deviations at most; what all share still moves the mean, within some thirty answers.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from dataclasses import replace
+from random import Random
 
 import pytest
 
@@ -32,7 +33,7 @@
     RequestClass,
     Timer,
 )
-from woadyard.policy import Balancer
+from woadyard.policy import Balancer, Latency
 
 PATIENT = RequestClass(effect=SAFE, aim_us=2_500 * MS, deadline_us=6 * SECOND)
 
@@ -212,6 +213,16 @@
     assert all(pause(copy) <= SECOND for copy in copies)
 
 
+def test_a_few_choked_endpoints_do_not_set_what_is_usual() -> None:
+    latency, rng = Latency(), Random(1)
+    for n in range(2000):
+        latency.add(rng.expovariate(1 / 100) if n % 6 else 1500.0)
+    assert 80.0 < latency.mean < 200.0 and latency.high(4.0) < 1000.0
+    for _ in range(400):  # what all share is usual, and soon
+        latency.add(rng.expovariate(1 / 400))
+    assert 250.0 < latency.mean < 500.0
+
+
 ORDERED = RequestClass(UNSAFE, aim_us=500 * MS, deadline_us=SECOND, sequential=True)
 IN_ORDER = replace(SETTINGS, classes=(ORDERED, replace(ORDERED, effect=SAFE)), key_rest_us=50 * MS)
 
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -70,6 +70,7 @@
 STALL_WEIGHT = 0.05
 # Gain of the copy's latency mean and deviation, as in TCP's timer.
 LATENCY_GAIN = 0.05
+LATENCY_CLIP = 2.0
 # Part of the tip budget a copy allows itself: the rest covers copies that
 # carry more than their share and work heavier than the average.
 COLD_SAFETY = 0.5
@@ -210,6 +211,8 @@
         self.samples += 1
         gain = max(LATENCY_GAIN, 1.0 / self.samples)
         error = value - self.mean
+        if self.samples > LEARN_SAMPLES:  # a few choked endpoints must not set what is usual
+            error = min(error, LATENCY_CLIP * self.deviation)
         self.mean += gain * error
         if self.samples > 1:
             self.deviation += gain * (abs(error) - self.deviation)
