Leave requests stuck at a frozen minority out of the bound on held ones

A copy with 3 stuck calls of 8 allowed is harmless alone; all copies lose them at once. At fault: Balancer.request, which gave admission all that is held. Where most endpoints look frozen all is counted as before: then it is one queue before all.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -450,3 +450,20 @@
             admission.note((30 + k) * SECOND, 2 * SECOND, True, True)
         bounds.append(next(held for held in range(1, 99) if admission._full(90 * SECOND, held)))
     assert bounds[0] > 9 and bounds[1] > bounds[0] + 4
+
+
+def test_requests_stuck_at_frozen_endpoints_do_not_idle_the_others() -> None:
+    """zone+vast: a lost zone held half of what a copy may hold, and the rest was refused."""
+    driver = Driver(started(8, settings=replace(SETTINGS, classes=(PATIENT,)), instances=4))
+    assert all(driver.serve(k * 100 * MS, 100 * MS) for k in range(300))
+    frozen = {entry.endpoint for entry in fleet(3)}
+    now, served = 31 * SECOND, 0
+    for k in range(60):
+        asked = [driver.ask(now + n * MS) for n in range(20)]
+        out = [send for _, actions in asked for send in sends(actions) if send.endpoint not in frozen]
+        for send in out:
+            done = Outcome(send.request, 0, send.endpoint, OK, 100 * MS, over=True)
+            driver.balancer.outcome(now + 100 * MS, done)
+        served += len(out) if k >= 30 else 0
+        now += 110 * MS
+    assert served > 300, "five of eight answer as before"
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -896,7 +896,7 @@
         # Nothing was spent on a request yet where it enters; further down, a
         # refusal would waste what the tiers above have done for it.
         if self.s.stage == 0 and not self.admission.admits(
-            now, len(self.requests), self.worth.place(now, event), self.rng.random()
+            now, self._held(now), self.worth.place(now, event), self.rng.random()
         ):
             self._end(now, request)
         elif not request.key or self._queue(now, request):
@@ -965,6 +965,12 @@
             self._result(now, request, outcome)
         self._try(now, request)
 
+    def _held(self, now: int) -> int:
+        """Requests that load the endpoints: what is out at a frozen one is no queue
+        of those that answer. Where most look frozen, it is one queue before all."""
+        frozen = [one.inflight for one in self.endpoints.values() if one.inflight and self._stalled(now, one)]
+        return max(0, len(self.requests) - (sum(frozen) if 2 * len(frozen) < len(self.ring) else 0))
+
     def _result(self, now: int, request: Request, outcome: int) -> None:
         """Tell admission how a request ended. Errors and resets are left out:
         they tell of broken endpoints, which fewer requests would not mend."""
