Spread out the copies that ask discovery again after a lost watch

Read, not measured: Discovery.lost asked again after 0.1, 0.2, 0.4 s to the millisecond, so copies whose watches ended together (discovery down, or its address moved by SIGHUP) asked together each time. At fault: the fixed retry_s. Drawn now from a generator seeded by the configuration, between half and one and a half of it.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -191,7 +192,9 @@
             listener = await registry.start()
             stack.callback(listener.close)
             address = f"127.0.0.1:{registry.port}"
-            driver.discovery = Discovery(loop, address, "/registry/instances", True, driver.listed)
+            driver.discovery = Discovery(
+                loop, address, "/registry/instances", True, driver.listed, random.Random(1)
+            )
             stack.callback(driver.discovery.close)
         entries = [one.entry(f"s-{n}") for n, one in enumerate(endpoints)]
         driver.start({"generation": 41, "reset": True, "instances": entries} if known else None)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from random import Random
 from typing import Any, cast
 from unittest.mock import Mock
 
@@ -45,7 +46,7 @@
 def test_a_watch_that_missed_a_line_is_given_up_before_the_next() -> None:
     clock, failed = Clock(), list[float]()
     loop = cast(asyncio.AbstractEventLoop, clock)
-    discovery = Discovery(loop, "127.0.0.1:1", "/list", False, lambda *_: None)
+    discovery = Discovery(loop, "127.0.0.1:1", "/list", False, lambda *_: None, Random(1))
     discovery.on_failed = lambda: failed.append(clock.now)
     stream = asked(clock, discovery)
     for beat in (2.0, 4.0, 6.0):
@@ -54,3 +55,21 @@
     assert not failed
     clock.go_to(20.0)
     assert len(failed) == 1 and 8.0 < failed[0] <= 9.0
+
+
+def test_copies_that_lost_their_watches_together_ask_again_apart() -> None:
+    clock = Clock()
+    loop = cast(asyncio.AbstractEventLoop, clock)
+    times = []
+    for seed in range(40):
+        discovery = Discovery(loop, "127.0.0.1:1", "/list", True, lambda *_: None, Random(seed))
+        stream = asked(clock, discovery)
+        clock.due.clear()
+        for _ in range(3):
+            stream.connection_lost(None)
+            again, callback, args = clock.due.pop()
+            callback(*args)
+            assert discovery.stream is not None
+            stream = discovery.stream
+        times.append(again)
+    assert len(set(times)) == 40 and max(times) > 2 * min(times)
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import json
 import os
+import random
 import signal
 import sys
 from dataclasses import dataclass
@@ -105,7 +106,12 @@
     upstream = Upstream(loop, Driver.now, settings.idle_us, settings.connect_timeout_us, most)
     driver = Driver(loop, config.seed, settings, config.names, upstream, config.drain_grace_us)
     discovery = driver.discovery = Discovery(
-        loop, config.discovery, LIST_PATH, not settings.asks_discovery, driver.listed
+        loop,
+        config.discovery,
+        LIST_PATH,
+        not settings.asks_discovery,
+        driver.listed,
+        random.Random(config.seed),
     )
     loop.add_signal_handler(signal.SIGHUP, reload, discovery, config.path)
     try:
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import sys
 from collections.abc import Callable
 from typing import Any, cast
@@ -88,10 +89,16 @@
 
 class Discovery:
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, address: str, path: str, pushed: bool, listen: Listen
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: str,
+        path: str,
+        pushed: bool,
+        listen: Listen,
+        rng: random.Random,
     ) -> None:
         self.loop, self.address, self.path, self.pushed = loop, address, path, pushed
-        self.listen = listen
+        self.listen, self.rng = listen, rng
         self.on_failed: Callable[[], None] = lambda: None
         self.generation = 0
         self.stream: Stream | None = None  # the watch
@@ -166,7 +173,8 @@
         if not self.pushed and not self.moving:
             self.on_failed()  # the module says when to ask again
         elif stream is self.stream:
-            self.loop.call_later(self.retry_s, self._again, stream)
+            # Copies that lost their watches together must not ask together.
+            self.loop.call_later(self.retry_s * (0.5 + self.rng.random()), self._again, stream)
             self.retry_s = min(RETRY_MOST_S, 2.0 * self.retry_s)
 
     def _again(self, stream: Stream) -> None:
