Let no list older than a drain bring its endpoint back

So an old list told whole revived endpoints that a newer one had told draining or gone, and the next send broke the drain. At fault: Driver._list, which did not know the version. It now keeps by which version an endpoint was told away, and the start of that process; a newer list, or a process that started since, comes back as before. What is kept is bounded.

--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -103,6 +103,10 @@
     return int.from_bytes(blake2b(instance.encode(), digest_size=8).digest(), "big")
 
 
+# So many endpoints told away are remembered, the latest: no list is that old.
+LEFT_MOST = 4096
+
+
 class Place:
     """What the shell keeps of one listed endpoint."""
 
@@ -130,6 +134,7 @@
         self.wall_us = wall_us
         self.discovery: Discovery | None = None
         self.places: dict[int, Place] = {}
+        self.left: dict[int, tuple[int, int]] = {}  # told away: by which version, and its start
         self.calls: dict[int, Call] = {}
         self.next_id = 0
         self.todo: deque[tuple[Callable[..., list[Action]], tuple[Any, ...], Call | None]] = deque()
@@ -178,7 +183,7 @@
     def start(self, known: dict[str, Any] | None) -> None:
         self.tell(self.balancer.start)
         if known is not None:
-            self._list(LIST_CACHED, known["instances"])
+            self._list(LIST_CACHED, int(known["generation"]), known["instances"])
         if self.discovery is not None:
             self.discovery.generation = int(known["generation"]) if known else 0
             self.discovery.on_failed = self._list_failed
@@ -188,16 +193,17 @@
     # --- Discovery --------------------------------------------------------------------
 
     def listed(self, version: int, whole: bool, entries: list[dict[str, Any]]) -> None:
-        self._list(LIST_FULL if whole else LIST_DELTA, entries)
+        self._list(LIST_FULL if whole else LIST_DELTA, version, entries)
 
     def _list_failed(self) -> None:
         self.tell(self.balancer.members, LIST_FAILED, ())
 
-    def _list(self, mode: int, raw: list[dict[str, Any]]) -> None:
+    def _list(self, mode: int, version: int, raw: list[dict[str, Any]]) -> None:
         try:
             read = [self._entry(one) for one in raw]
         except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
             raise ValueError(f"no entry: {error!r}") from None
+        read = [one for one in read if not self._outdated(version, *one)]
         now = self.now()
         # Guards memory where endpoints come and go: past the grace nothing may start there.
         left = [(n, one.left_at) for n, one in self.places.items() if one.left_at is not None]
@@ -208,9 +214,9 @@
             named = {entry.endpoint for entry, _ in read}
             for number, place in self.places.items():
                 if number not in named:
-                    self._leave(now, number, place)
+                    self._leave(now, version, number, place)
         for entry, place in read:
-            self._place(now, entry, place)
+            self._place(now, version, entry, place)
         self.tell(self.balancer.members, mode, [entry for entry, _ in read])
 
     def _entry(self, raw: dict[str, Any]) -> tuple[Entry, Place]:
@@ -243,19 +249,28 @@
         boot = self.now() - (self.wall_us() - started_ms * 1000)
         return boot or 1  # 0 would mean long ago
 
-    def _place(self, now: int, entry: Entry, place: Place) -> None:
+    def _outdated(self, version: int, entry: Entry, place: Place) -> bool:
+        """Guards drains: a list older than the one that told a process away does
+        not bring it back."""
+        told_by, started_ms = self.left.get(entry.endpoint, (version, 0))
+        return entry.phase == READY and version < told_by and place.started_ms <= started_ms
+
+    def _place(self, now: int, version: int, entry: Entry, place: Place) -> None:
         number, old = entry.endpoint, self.places.get(entry.endpoint)
         if entry.phase != READY:
-            if old is not None:
-                self._leave(now, number, old)
+            self._leave(now, version, number, old or place)
             return
+        self.left.pop(number, None)
         self.places[number] = place
         same = old is not None and old.left_at is None
         if old is None or not same or (old.address, old.started_ms) != (place.address, place.started_ms):
             host, _, port = place.address.rpartition(":")
             self.upstream.place(number, host, int(port))
 
-    def _leave(self, now: int, number: int, place: Place) -> None:
+    def _leave(self, now: int, version: int, number: int, place: Place) -> None:
+        self.left[number] = max(version, self.left.get(number, (0, 0))[0]), place.started_ms
+        if len(self.left) > LEFT_MOST:
+            del self.left[next(iter(self.left))]
         if place.left_at is None:
             place.left_at = now
             self.upstream.remove(number)
