Let the floor on held requests fall with the endpoints that bear them

By half seconds, held over the fleet: 10 to 19 requests on each old endpoint, whose answers fell to a third from about 8 held on, 1 to 2 on each fresh one. The floor of each copy counted every listed endpoint, also cold, failing and frozen ones, and was eight at least for each of seven copies: 56 requests on six endpoints. Ruled out: late lists, queue reports (always 0), speed learned of cold ones (no effect). At fault: the floor set in Balancer._cut from the length of the list, and HELD_MIN in Admission._full while a queue stands. One or two held no longer pass for a queue in a copy that is seldom asked.

--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -120,7 +120,7 @@
 # HELD_EACH for each endpoint that falls to a copy are always let through, HELD_MOST at
 # most, as large counts tell enough, and this part of them while a queue stands: shared
 # out, they choke nobody. HELD_FEW is the least where copies are many, HELD_MIN while
-# answers are quick.
+# answers are quick and no queue stands.
 HELD_EACH, HELD_MOST, HELD_PART = 8, 24, 0.75
 HELD_MIN, HELD_FEW = 8, 2
 # Rise per look of what a request is taken to take unloaded: slow, so that a
@@ -379,18 +379,20 @@
         memory = ADMIT_MEMORY * self.took
         answers = self.results * exp((self.at - now) / memory) / memory
         usual = answers * self.base
-        tight = STANDING_OVER * usual + STANDING_CHANCE * sqrt(usual)
+        # Fewer than HELD_FEW are no queue, however seldom this copy is asked.
+        tight = max(HELD_FEW, STANDING_OVER * usual + STANDING_CHANCE * sqrt(usual))
         loose = HELD_OVER * usual + HELD_CHANCE * sqrt(usual)
         if held <= tight:
             self.calm_at = now
         else:
             self.busy_at = now
+        slow = self.standing or self.calm > HELD_OVER * self.base
         # A queue stands once it lasted for a look; it is over once none was
         # seen for two.
         self.standing |= self.settled and now - self.calm_at > memory
         self.standing &= now - self.busy_at < 2.0 * memory
         least = max(
-            HELD_FEW if self.calm > HELD_OVER * self.base else HELD_MIN,
+            HELD_FEW if slow else HELD_MIN,
             self.least * (HELD_PART if self.standing else 1.0),
         )
         if not self.settled or held <= max(least, tight if self.standing else loose):
@@ -554,7 +556,6 @@
         copies, and in the right groups too. An endpoint that an edge cuts
         stands in the group with the share that lies inside.
         """
-        self.admission.least = min(HELD_MOST, HELD_EACH * len(self.ring) / self.s.instances)
         near = self.ring
         if self.s.zones > 1 and self.s.cross_zone_price > 0.0:
             near = [pair for pair in self.ring if pair[1].zone == self.s.zone]
@@ -966,10 +967,20 @@
         self._try(now, request)
 
     def _held(self, now: int) -> int:
-        """Requests that load the endpoints: what is out at a frozen one is no queue
-        of those that answer. Where most look frozen, it is one queue before all."""
-        frozen = [one.inflight for one in self.endpoints.values() if one.inflight and self._stalled(now, one)]
-        return max(0, len(self.requests) - (sum(frozen) if 2 * len(frozen) < len(self.ring) else 0))
+        """Requests that load the endpoints, and tells admission how many of those
+        bear them: what is out at a frozen one is no queue of the others. Where most
+        look frozen, it is one queue before all."""
+        held, frozen, bear = len(self.requests), 0, 0.0
+        for _, one in self.ring:
+            if one.inflight and self._stalled(now, one):
+                held -= one.inflight
+                frozen += 1
+            else:
+                bear += self._warmth(now, one) * self._health(now, one, 0)
+        if 2 * frozen >= len(self.ring):
+            held, bear = len(self.requests), len(self.ring)
+        self.admission.least = min(HELD_MOST, HELD_EACH * bear / self.s.instances)
+        return max(0, held)
 
     def _result(self, now: int, request: Request, outcome: int) -> None:
         """Tell admission how a request ended. Errors and resets are left out:
