--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -478,28 +478,6 @@
     return next(held for held in range(1, 99) if admission._full(now + 120 * SECOND, held))
 
 
-def test_the_floors_of_all_copies_add_up_to_what_the_endpoints_bear() -> None:
-    """join+vast: a floor of eight for each of seven copies choked the six endpoints left."""
-    patient, floors = replace(SETTINGS, classes=(PATIENT,), cold_us=500 * SECOND), {}
-    for copies, cold in ((1, 0), (4, 0), (4, 4), (40, 0)):
-        driver = Driver(started(8, settings=patient, instances=copies))
-        assert all(driver.serve(k * 500 * MS, 100 * MS) for k in range(60))
-        fresh = [replace(entry, boot=30 * SECOND) for entry in fleet(cold)]
-        driver.balancer.members(30 * SECOND, LIST_DELTA, fresh)
-        floors[copies, cold] = floor(driver, 30 * SECOND)
-    assert floors[1, 0] > floors[4, 0] > floors[4, 4] > floors[40, 0]
-    assert 40 * floors[40, 0] < 8 * 16 and 4 * floors[4, 0] < 8 * 10
-
-
-def floor(driver: Driver, now: int) -> int:
-    """Requests that may be held once many a late answer left only the floor."""
-    admission = driver.balancer.admission
-    for k in range(60):
-        admission.note(now + k * SECOND, 2 * SECOND, True, True)
-    driver.ask(now + 60 * SECOND)
-    return next(held for held in range(1, 99) if admission._full(now + 120 * SECOND, held))
-
-
 def test_the_floors_of_all_copies_add_up_to_what_the_endpoints_bear() -> None:
     """join+vast: seven copies kept a full floor each when half the endpoints were cold or gone."""
     patient, floors = replace(SETTINGS, classes=(PATIENT,), cold_us=500 * SECOND), {}
