Take over on the platform's socket, with a door that says who is ready

The listener of $LB_ACCEPT_FD is adopted, never bound and never shut down. The door (net/console.py) has a listener, a loop and a thread of its own, set-aside descriptors, one call a connection, each timed on its own.

Not taken: the door on the balancing's loop: an answer would wait for a long batch of events. Closing connections at rest at SIGTERM: each may cross a request, which ends at the door.

--- /dev/null
+++ b/tests/process.py
@@ -0,0 +1,58 @@
+"""The real program as a process of its own, and what it is told."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+from tests.sockets import SETTINGS, Endpoint, Message, Registry, read_message
+
+
+def config(tmp_path: Path, registry: Registry, *endpoints: Endpoint, **changes: Any) -> dict[str, str]:
+    raw = {
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{registry.port}", "seed": "8c1f",
+        "limits": {"sockets": 1024}, "settings": SETTINGS,
+        "known": {"generation": 1, "reset": True, "instances": [one.entry() for one in endpoints]},
+        **changes,
+    }  # fmt: skip
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw))
+    return {**os.environ, "LB_CONFIG": str(path), "TMPDIR": str(tmp_path)}
+
+
+async def start(environ: dict[str, str], *inherited: int) -> asyncio.subprocess.Process:
+    pipe = asyncio.subprocess.PIPE
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "woadyard", env=environ, stdout=pipe, stderr=pipe, pass_fds=inherited
+    )
+
+
+def free_port() -> int:
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        port: int = found.getsockname()[1]
+        return port
+
+
+async def call(port: int, method: str, path: str, body: str = "") -> Message:
+    """One call at the operators' door, as soon as there is one."""
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            break
+        except ConnectionError:
+            await asyncio.sleep(0.01)
+    writer.write(f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+    back = await read_message(reader)
+    writer.close()
+    return back
+
+
+async def ready(port: int) -> None:
+    while not (await call(port, "GET", "/_ready")).start.startswith("HTTP/1.1 200"):
+        await asyncio.sleep(0.01)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -61,8 +61,8 @@
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
-    """On the loop that the sidecar runs on."""
-    uvloop.run(test)
+    """On the loop that the sidecar runs on; a test that hangs fails."""
+    uvloop.run(asyncio.wait_for(test, TIMEOUT_S))
 
 
 Handler = Callable[["Endpoint", Message, Writer], Awaitable[None]]
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import gc
-import json
 import os
 import signal
 import socket
-import sys
 from collections import Counter
 from dataclasses import replace
 from pathlib import Path
@@ -16,6 +14,7 @@
 
 import pytest
 
+from tests.process import config, free_port, start
 from tests.sockets import (
     SETTINGS,
     Endpoint,
@@ -891,32 +890,6 @@
 # --- The process ------------------------------------------------------------------------
 
 
-def config(tmp_path: Path, registry: Registry, *endpoints: Endpoint, **changes: Any) -> dict[str, str]:
-    raw = {
-        "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{registry.port}", "seed": "8c1f",
-        "limits": {"sockets": 1024}, "settings": SETTINGS,
-        "known": {"generation": 1, "reset": True, "instances": [one.entry() for one in endpoints]},
-        **changes,
-    }  # fmt: skip
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps(raw))
-    return {**os.environ, "LB_CONFIG": str(path)}
-
-
-async def start(environ: dict[str, str]) -> asyncio.subprocess.Process:
-    pipe = asyncio.subprocess.PIPE
-    return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "woadyard", env=environ, stdout=pipe, stderr=pipe
-    )
-
-
-def free_port() -> int:
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        port: int = found.getsockname()[1]
-        return port
-
-
 def test_sigterm_finishes_what_was_taken_and_exits(tmp_path: Path) -> None:
     async def main() -> None:
         release = asyncio.Event()
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -10,11 +10,13 @@
 import signal
 import sys
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 import uvloop
 
 from woadyard.interface import Settings
+from woadyard.net.console import DESCRIPTORS, CallError, Console, Route, Routes
 from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver, Names
 from woadyard.net.server import Server
@@ -23,6 +25,7 @@
 
 LIST_PATH = "/registry/instances"
 SOCKETS_DEFAULT = 1024
+OTHER_SOCKETS = 32
 
 
 class ConfigError(Exception):
@@ -33,6 +36,8 @@
 class Config:
     path: str
     listen: tuple[str, int]
+    accept: int | None  # a listening socket that the platform holds
+    console: tuple[str, int] | None
     discovery: str
     seed: int
     sockets: int
@@ -63,9 +68,13 @@
             raise ConfigError("known is no list of endpoints")
         discovery = str(environ.get("LB_DISCOVERY") or raw["discovery"])
         address(discovery)
+        accept = environ.get("LB_ACCEPT_FD")
+        console = environ.get("LB_CONSOLE") or raw.get("console")
         return Config(
             path=path,
             listen=address(environ.get("LB_LISTEN") or raw["listen"]),
+            accept=int(accept) if accept else None,
+            console=address(console) if console else None,
             discovery=discovery,
             seed=int(str(raw.get("seed", "0")), 16),
             sockets=int(raw.get("limits", {}).get("sockets", SOCKETS_DEFAULT)),
@@ -98,10 +107,34 @@
         print(f"woadyard: not reloaded: {error}", file=sys.stderr, flush=True)
 
 
+def routes(server: Server, discovery: Discovery) -> Routes:
+    """The operators' calls. They run on the door's thread: what they read of
+    the balancing is single values, and nothing there waits for them."""
+
+    def ready(body: str) -> str:
+        if not server.accepting:
+            raise CallError(HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
+        return "ready"
+
+    return {b"/_ready": Route(b"GET", ready)}
+
+
+def open_console(config: Config, routes: Routes) -> Console | None:
+    if config.console is None:
+        return None
+    console = Console(routes)
+    try:
+        console.open(*config.console)
+    except (OSError, OverflowError) as error:
+        raise ConfigError(f"can't open the console: {error}") from None
+    return console
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     # Both sides share the sockets, less some for the listener, the watch and the loop.
-    most = max(16, min(config.sockets, SOCKETS_DEFAULT) - 32)
+    aside = OTHER_SOCKETS + (DESCRIPTORS if config.console else 0)
+    most = max(16, min(config.sockets, SOCKETS_DEFAULT) - aside)
     settings = config.settings
     upstream = Upstream(loop, Driver.now, settings.idle_us, settings.connect_timeout_us, most)
     driver = Driver(loop, config.seed, settings, config.names, upstream, config.drain_grace_us)
@@ -121,13 +154,19 @@
     server = Server(driver, most)
     upstream.others, upstream.give_way = lambda: len(server.callers), server.give_way
     try:
-        await server.listen(*config.listen)
-    except OSError as error:
+        if config.accept is None:
+            await server.listen(*config.listen)
+        else:
+            await server.adopt(config.accept)
+    except (OSError, OverflowError, ValueError) as error:
         raise ConfigError(f"can't listen: {error}") from None
+    console = open_console(config, routes(server, discovery))
     ended = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, server.stop, ended.set)
     loop.add_signal_handler(signal.SIGINT, server.stop, ended.set)
     await ended.wait()
+    if console is not None:
+        console.close()
     discovery.close()
     upstream.close()
 
--- /dev/null
+++ b/woadyard/net/console.py
@@ -0,0 +1,190 @@
+"""The operators' door: a second listener, for calls about this process.
+
+It runs on a loop and a thread of its own, so that an answer waits for no
+balancing work, and holds few connections, so that callers who hold on to
+theirs cost the balancing nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import cast
+
+import httptools
+import uvloop
+
+# Descriptors set aside: the listener, the loop's own, and the callers'.
+VISITORS_MOST = 24
+DESCRIPTORS = VISITORS_MOST + 8
+# How long a connection may take to bring its call, and to read the answer.
+VISIT_S, LINGER_S = 3.0, 1.0
+BODY_MAX, HEAD_MAX = 1024, 8 * 1024
+BACKLOG = 128
+
+
+class CallError(Exception):
+    """A call that gets no for an answer; the text says why."""
+
+    def __init__(self, status: HTTPStatus, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(frozen=True)
+class Route:
+    """One call: its method, and what it does with the body; `CallError` says no."""
+
+    method: bytes
+    act: Callable[[str], str]
+
+
+Routes = dict[bytes, Route]
+
+
+class Visitor(asyncio.Protocol):
+    """One connection of an operator; it carries one call."""
+
+    def __init__(self, console: Console) -> None:
+        self.console = console
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.target = self.body = b""
+        self.fed = 0
+        self.expects = self.in_body = False
+        self.whole = self.over = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.patience = self.console.loop.call_later(VISIT_S, self._out_of_patience)
+        self.console.joined(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.over = True
+        self.patience.cancel()
+        self.console.visitors.pop(self, None)
+        del self.parser  # it holds the visitor in turn
+
+    def data_received(self, data: bytes) -> None:
+        if self.over:
+            return
+        self.fed += len(data)
+        try:
+            self.parser.feed_data(data)
+            if self.whole:
+                self._answer(HTTPStatus.OK, self._act())
+            elif not self.in_body and self.fed > HEAD_MAX:
+                raise CallError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            self._refuse(cause if isinstance(cause, CallError) else MALFORMED)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._refuse(MALFORMED)
+        except CallError as error:
+            self._refuse(error)
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.expects |= name.lower() == b"expect" and value.lower() == b"100-continue"
+
+    def on_headers_complete(self) -> None:
+        self.in_body = True
+        if self.expects and self.transport is not None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+        if len(self.body) > BODY_MAX:
+            raise CallError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+
+    def on_message_complete(self) -> None:
+        self.whole = True
+
+    def _act(self) -> str:
+        route = self.console.routes.get(self.target.partition(b"?")[0])
+        if route is None:
+            raise CallError(HTTPStatus.NOT_FOUND, "unknown path")
+        if self.parser.get_method() != route.method:
+            raise CallError(HTTPStatus.METHOD_NOT_ALLOWED, f"this call is a {route.method.decode()}")
+        try:
+            return route.act(self.body.decode().strip())
+        except UnicodeDecodeError:
+            raise CallError(HTTPStatus.BAD_REQUEST, "the body is no text") from None
+
+    def _refuse(self, error: CallError) -> None:
+        self._answer(error.status, str(error))
+
+    def _answer(self, status: HTTPStatus, text: str) -> None:
+        """The answer, then the end; what still comes is dropped for a moment,
+        as closing on unread bytes would reset the answer away."""
+        self.over = True
+        if self.transport is None or self.transport.is_closing():
+            return
+        body = f"{text}\n".encode()
+        self.transport.write(
+            b"HTTP/1.1 %d %b\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n"
+            b"Connection: close\r\n\r\n%b" % (status, status.phrase.encode(), len(body), body)
+        )
+        if self.whole:
+            self.transport.close()
+        else:
+            self.transport.write_eof()
+        self.patience.cancel()
+        self.patience = self.console.loop.call_later(LINGER_S, self.transport.abort)
+
+    def _out_of_patience(self) -> None:
+        if self.fed:
+            self._refuse(CallError(HTTPStatus.REQUEST_TIMEOUT, "the call did not come whole in time"))
+        else:
+            self.drop()
+
+    def drop(self) -> None:
+        self.over = True
+        if self.transport is not None:
+            self.transport.abort()
+
+
+MALFORMED = CallError(HTTPStatus.BAD_REQUEST, "malformed")
+
+
+class Console:
+    """The listener, and the thread that serves it."""
+
+    def __init__(self, routes: Routes) -> None:
+        self.routes = routes
+        self.visitors: dict[Visitor, None] = {}  # the longest here first
+        self.loop = uvloop.new_event_loop()
+        self.thread = threading.Thread(target=self._run, name="console", daemon=True)
+        self.listening: socket.socket | None = None
+
+    def open(self, host: str, port: int) -> int:
+        """Listen, and serve from now on; OSError where the address can't be used."""
+        self.listening = socket.create_server((host, port), backlog=BACKLOG)
+        self.thread.start()
+        return int(self.listening.getsockname()[1])
+
+    def close(self) -> None:
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self.loop)
+        self.loop.run_until_complete(
+            self.loop.create_server(lambda: Visitor(self), sock=self.listening, backlog=BACKLOG)
+        )
+        self.loop.run_forever()
+
+    def joined(self, visitor: Visitor) -> None:
+        """One more; where that is too many, the one longest here gives way."""
+        self.visitors[visitor] = None
+        if len(self.visitors) > VISITORS_MOST:
+            oldest = next(iter(self.visitors))
+            del self.visitors[oldest]
+            oldest.drop()
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import zlib
 from collections import deque
 from collections.abc import Callable
@@ -35,6 +36,7 @@
 DEADLINE_MOST_S, KILL_S = 3.0, 0.7
 ANSWERED_S, ANSWER_S = 0.3, 1.0
 MAX_U63 = 2**63
+BACKLOG = 1024
 # Ids of requests are remembered for this long, longer than any of them runs.
 IDS_S, ID_MAX = 30.0, 128
 
@@ -297,9 +299,14 @@
         self.closing = False  # no connection is kept any more
         self.answered_by = MAX_U63  # on the driver's clock, µs
         self.listener: asyncio.Server | None = None
+        self.shared = False  # the listening socket outlives this process
         self.last_joined = 0.0
         self.on_end: Callable[[], None] = lambda: None
 
+    @property
+    def accepting(self) -> bool:
+        return self.listener is not None and not self.stopping
+
     def claim(self, name: bytes) -> None:
         """An id is for one request. Guards the endpoints against stray copies: one
         that runs twice breaks a rule, and an answer to it would blame who gave it."""
@@ -314,9 +321,21 @@
 
     async def listen(self, host: str, port: int) -> int:
         loop = self.driver.loop
-        self.listener = await loop.create_server(lambda: Caller(self), host, port, backlog=1024)
+        self.listener = await loop.create_server(lambda: Caller(self), host, port, backlog=BACKLOG)
         return int(self.listener.sockets[0].getsockname()[1])
 
+    async def adopt(self, descriptor: int) -> None:
+        """Listen on a socket that the platform holds: other processes of this
+        sidecar accept from it too, before and after this one."""
+        self.shared = True
+        listening = socket.socket(fileno=descriptor)
+        if not listening.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            listening.detach()  # whatever it is, it is not ours to close
+            raise OSError(f"descriptor {descriptor} does not listen")
+        self.listener = await self.driver.loop.create_server(
+            lambda: Caller(self), sock=listening, backlog=BACKLOG
+        )
+
     def joined(self, caller: Caller) -> None:
         # Guards the limit on sockets. One that has brought no request yet is never
         # closed: its first may be on its way, and a client sends it anew only once.
@@ -357,7 +376,9 @@
         """SIGTERM: serve what comes while it comes, then finish and end.
 
         Connections are kept meanwhile: where sidecars restart in turn, the next
-        one may not be up yet, and callers have nowhere else to go.
+        one may not be up yet, and callers have nowhere else to go. Where the
+        platform holds the socket, whoever accepts next takes the new ones: each
+        connection then ends with its next answer, and only at rest without one.
         """
         if self.stopping:
             return
@@ -366,7 +387,11 @@
         deadline_s = max(one.deadline_us for one in driver.settings.classes) / 1e6
         answered_s = min(DEADLINE_MOST_S, deadline_s) + KILL_S - ANSWERED_S
         self.answered_by = driver.now() + round(answered_s * 1e6)
-        loop.call_later(ACCEPT_S, self._stop_listening, loop.time() + ACCEPT_S)
+        if self.shared:
+            self.closing = True
+            self._close_listener()
+        else:
+            loop.call_later(ACCEPT_S, self._stop_listening, loop.time() + ACCEPT_S)
         loop.call_later(max(ACCEPT_S + LAST_S, answered_s - ANSWER_S), self._stop_keeping)
 
     def _stop_keeping(self) -> None:
@@ -386,6 +411,9 @@
         if loop.time() < until:
             loop.call_later(until - loop.time(), self._stop_listening, least)
             return
+        self._close_listener()
+
+    def _close_listener(self) -> None:
         assert self.listener is not None
         self.listener.close()
         self.listener = None
