Let operators take endpoints out and back, above all lists and over an upgrade

The module has two events, detach and attach: what is out stays off the ring whatever lists say, and remembers what they said of it. What comes back counts as just started at the call, a first request is due within 2 s on the copies that have it on their arc, again after 0.5 s where it can't be reached. With all out, requests are refused at once. The ban binds at the door already: the driver asks for it when an attempt is written. net/state.py keeps bans and ids ever listed in one file in $TMPDIR (aside, rename, lock), which each process looks at every 50 ms on the door's thread.

Not taken: filtering the lists in the driver: the module would see an endpoint drain and come back with all it had learned, warm. A message from process to process: nothing would be left of a ban once the first of them is gone.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,7 +13,7 @@
 
 from tests.sockets import Endpoint, Registry, push, read_message, request, run, sidecar
 from woadyard.net.discovery import Discovery, Stream
-from woadyard.net.driver import endpoint_number
+from woadyard.net.state import endpoint_number
 
 
 class Clock:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import socket
+from itertools import count, islice
 from pathlib import Path
 
 import pytest
@@ -93,3 +94,50 @@
             assert errors.count(b"\n") == 1 and errors.startswith(b"woadyard: ")
 
     run(main())
+
+
+def test_a_ban_holds_over_an_upgrade_and_one_call_ends_it(tmp_path: Path) -> None:
+    async def main() -> None:
+        first, second, registry = Endpoint(), Endpoint(), Registry()
+        listening = socket.create_server(("127.0.0.1", 0))
+        port = listening.getsockname()[1]
+        async with await first.start(), await second.start(), await registry.start():
+            known = {"generation": 1, "reset": True, "instances": [first.entry("s-1"), second.entry("s-2")]}
+            environ = {
+                **config(tmp_path, registry, listen=f"127.0.0.1:{port}", known=known),
+                "LB_ACCEPT_FD": str(listening.fileno()),
+            }
+            ids = count()
+
+            async def ask(times: int) -> None:
+                for n in islice(ids, times):
+                    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                    writer.write(request(rid=f"r{n}"))
+                    assert (await read_message(reader)).body == b"ok"
+                    writer.close()
+
+            async def said(door: int, what: str, body: str) -> str:
+                return (await call(door, "POST", f"/_endpoints/{what}", body)).start.split()[1]
+
+            doors = [free_port(), free_port()]
+            old = await start({**environ, "LB_CONSOLE": f"127.0.0.1:{doors[0]}"}, listening.fileno())
+            await ready(doors[0])
+            assert await said(doors[0], "detach", "s-9") == "404"
+            assert await said(doors[0], "detach", "") == "400"
+            for _ in range(2):
+                assert await said(doors[0], "detach", "s-1") == "200"
+            await ask(20)
+            new = await start({**environ, "LB_CONSOLE": f"127.0.0.1:{doors[1]}"}, listening.fileno())
+            await ready(doors[1])
+            old.send_signal(signal.SIGTERM)
+            await old.wait()
+            await ask(20)
+            assert not first.got, "no process sends it anything"
+            assert await said(doors[1], "attach", "s-1") == "200"
+            while not first.got:
+                await ask(1)
+            new.send_signal(signal.SIGTERM)
+            _, errors = await new.communicate()
+            assert (new.returncode, errors) == (0, b"")
+
+    run(main())
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -18,6 +18,7 @@
     LIST_DELTA,
     LIST_FAILED,
     LIST_FULL,
+    NO_CONNECT,
     OK,
     RESET,
     SAFE,
@@ -497,3 +498,67 @@
     assert not admission._full(30 * SECOND, 8)
     full = [admission._full(30 * SECOND + k * 100 * MS, 8) for k in range(20)]
     assert full[-1], "seven more copies hold eight each: no burst any more"
+
+
+# --- Endpoints that operators take out -----------------------------------------------------
+
+
+def test_no_list_brings_back_what_was_taken_out_until_it_is_put_back() -> None:
+    balancer = started(2)
+    driver = Driver(balancer)
+    balancer.detach(0, 100)
+    balancer.members(0, LIST_FULL, fleet(2))
+    balancer.members(0, LIST_DELTA, [replace(fleet(2)[0], boot=5)])
+    balancer.members(0, LIST_FULL, fleet(2)[1:])
+    balancer.members(0, LIST_FULL, fleet(2))
+    for n in range(50):
+        rid, actions = driver.ask(n)
+        assert {one.endpoint for one in sends(actions)} == {101}
+        balancer.outcome(n, Outcome(rid, 0, 101, OK, 1, over=True))
+    balancer.detach(60, 100)
+    balancer.attach(60, 100)
+    assert balancer.endpoints[100].ready, "one call is enough, and no list is waited for"
+
+
+def test_what_is_put_back_counts_as_just_started_and_is_tried_soon() -> None:
+    balancer = started(8, cold_us=9 * SECOND)
+    driver = Driver(balancer)
+    own = next(one for one in balancer.endpoints.values() if one.own)
+    balancer.detach(0, own.id)
+    balancer.attach(SECOND, own.id)
+    assert own.id in balancer.endpoints
+    balancer.members(2 * SECOND, LIST_FULL, fleet(8))
+    assert balancer.endpoints[own.id].boot == SECOND, "an old list tells of no restart"
+    tried = []
+    for now in range(SECOND, 4 * SECOND, SECOND // 4):
+        rid, actions = driver.ask(now)
+        (sent,) = sends(actions)
+        if sent.endpoint == own.id:
+            tried.append(now)
+        balancer.outcome(now, Outcome(rid, 0, sent.endpoint, OK, 1, over=True))
+    assert tried and len(tried) < 6, "at once, but as a cold one"
+
+
+def test_one_put_back_that_cannot_be_reached_yet_is_tried_again() -> None:
+    balancer = started(2, cold_us=9 * SECOND)
+    driver = Driver(balancer)
+    balancer.detach(0, 100)
+    balancer.attach(0, 100)
+    tried = 0
+    for now in range(0, 4 * SECOND, SECOND // 10):
+        rid, actions = driver.ask(now)
+        for sent in sends(actions):
+            tried += sent.endpoint == 100
+            outcome = NO_CONNECT if sent.endpoint == 100 else OK
+            balancer.outcome(now, Outcome(rid, 0, sent.endpoint, outcome, 1, over=outcome == OK))
+    assert tried >= 3
+
+
+def test_with_all_taken_out_requests_are_refused_at_once() -> None:
+    balancer = started(2)
+    driver = Driver(balancer)
+    for number in (100, 101):
+        balancer.detach(0, number)
+    _, actions = driver.ask(10)
+    assert [type(one) for one in actions] == [Refuse]
+    assert not balancer.requests
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -50,9 +50,10 @@
     Outcome,
     Refuse,
 )
-from woadyard.net.driver import Driver, endpoint_number
+from woadyard.net.driver import Driver
 from woadyard.net.message import Call
 from woadyard.net.server import Caller, key_of
+from woadyard.net.state import endpoint_number
 from woadyard.net.upstream import Attempt, Link
 
 
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -9,9 +9,13 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
+from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import uvloop
 
@@ -20,6 +24,7 @@
 from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver, Names
 from woadyard.net.server import Server
+from woadyard.net.state import LOOK_S, Bans
 from woadyard.net.upstream import Upstream
 from woadyard.wire import WireError, read_settings
 
@@ -45,6 +50,7 @@
     names: Names
     drain_grace_us: int
     known: dict[str, Any] | None
+    state: Path | None  # what outlives this process; nothing where none is kept
 
 
 def address(text: Any) -> tuple[str, int]:
@@ -54,6 +60,12 @@
     return host, int(port)
 
 
+def state_path(environ: dict[str, str], raw: dict[str, Any]) -> Path | None:
+    """One file for each sidecar, should several share the folder."""
+    folder, name = environ.get("TMPDIR"), str(environ.get("LB_NAME") or raw.get("name", ""))
+    return Path(folder) / f"woadyard-{quote(name, safe='')}.json" if folder else None
+
+
 def read_config(environ: dict[str, str]) -> Config:
     path = environ.get("LB_CONFIG")
     if not path:
@@ -82,6 +94,7 @@
             names=Names(raw["settings"], settings),
             drain_grace_us=int(rules.get("drain-grace-us", 0)),
             known=known,
+            state=state_path(environ, raw) if console else None,
         )
     except (OSError, ValueError, KeyError, TypeError, AttributeError, WireError) as error:
         raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
@@ -107,22 +120,33 @@
         print(f"woadyard: not reloaded: {error}", file=sys.stderr, flush=True)
 
 
-def routes(server: Server, discovery: Discovery) -> Routes:
+def routes(server: Server, bans: Bans) -> Routes:
     """The operators' calls. They run on the door's thread: what they read of
     the balancing is single values, and nothing there waits for them."""
 
+    def change(act: Callable[[str], bool], body: str) -> str:
+        if not body:
+            raise CallError(HTTPStatus.BAD_REQUEST, "the body names no endpoint")
+        if not act(body):
+            raise CallError(HTTPStatus.NOT_FOUND, "no list ever named this endpoint")
+        return f"done, out are: {' '.join(bans.banned) or 'none'}"
+
     def ready(body: str) -> str:
         if not server.accepting:
             raise CallError(HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
         return "ready"
 
-    return {b"/_ready": Route(b"GET", ready)}
+    return {
+        b"/_ready": Route(b"GET", ready),
+        b"/_endpoints/detach": Route(b"POST", partial(change, bans.detach)),
+        b"/_endpoints/attach": Route(b"POST", partial(change, bans.attach)),
+    }
 
 
-def open_console(config: Config, routes: Routes) -> Console | None:
+def open_console(config: Config, routes: Routes, bans: Bans) -> Console | None:
     if config.console is None:
         return None
-    console = Console(routes)
+    console = Console(routes, bans.look, LOOK_S)
     try:
         console.open(*config.console)
     except (OSError, OverflowError) as error:
@@ -137,7 +161,9 @@
     most = max(16, min(config.sockets, SOCKETS_DEFAULT) - aside)
     settings = config.settings
     upstream = Upstream(loop, Driver.now, settings.idle_us, settings.connect_timeout_us, most)
-    driver = Driver(loop, config.seed, settings, config.names, upstream, config.drain_grace_us)
+    driver = Driver(
+        loop, config.seed, settings, config.names, upstream, config.drain_grace_us, state=config.state
+    )
     discovery = driver.discovery = Discovery(
         loop,
         config.discovery,
@@ -160,7 +186,7 @@
             await server.adopt(config.accept)
     except (OSError, OverflowError, ValueError) as error:
         raise ConfigError(f"can't listen: {error}") from None
-    console = open_console(config, routes(server, discovery))
+    console = open_console(config, routes(server, driver.bans), driver.bans)
     ended = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, server.stop, ended.set)
     loop.add_signal_handler(signal.SIGINT, server.stop, ended.set)
--- a/woadyard/interface.py
+++ b/woadyard/interface.py
@@ -8,6 +8,8 @@
 
     start(now)                the sidecar is up; a cached list follows
     members(now, mode, list)  discovery's view: LIST_FULL, _DELTA, _CACHED, _FAILED
+    detach(now, endpoint)     an operator takes it out, above all lists
+    attach(now, endpoint)     and puts it back
     request(now, Arrival)     a request to be answered exactly once
     outcome(now, Outcome)     how one attempt ended; each `Send` gets one
     head(now, Outcome)        the answer of a streamed class has started
--- a/woadyard/net/console.py
+++ b/woadyard/net/console.py
@@ -154,10 +154,10 @@
 
 
 class Console:
-    """The listener, and the thread that serves it."""
+    """The listener, and the thread that serves it; `look` runs there every so often."""
 
-    def __init__(self, routes: Routes) -> None:
-        self.routes = routes
+    def __init__(self, routes: Routes, look: Callable[[], None] = lambda: None, every_s: float = 1.0) -> None:
+        self.routes, self.look, self.every_s = routes, look, every_s
         self.visitors: dict[Visitor, None] = {}  # the longest here first
         self.loop = uvloop.new_event_loop()
         self.thread = threading.Thread(target=self._run, name="console", daemon=True)
@@ -179,8 +179,13 @@
         self.loop.run_until_complete(
             self.loop.create_server(lambda: Visitor(self), sock=self.listening, backlog=BACKLOG)
         )
+        self._look()
         self.loop.run_forever()
 
+    def _look(self) -> None:
+        self.look()
+        self.loop.call_later(self.every_s, self._look)
+
     def joined(self, visitor: Visitor) -> None:
         """One more; where that is too many, the one longest here gives way."""
         self.visitors[visitor] = None
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -13,8 +13,8 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from hashlib import blake2b
 from math import ceil, nan
+from pathlib import Path
 from typing import Any
 
 from woadyard.interface import (
@@ -55,6 +55,7 @@
 )
 from woadyard.net.discovery import Discovery
 from woadyard.net.message import Answer, Call
+from woadyard.net.state import Bans, endpoint_number
 from woadyard.net.upstream import Attempt, Upstream
 from woadyard.policy import Balancer
 
@@ -97,12 +98,6 @@
         return values
 
 
-def endpoint_number(instance: str) -> int:
-    """From the name alone, so that all sidecars sort and group alike, and do
-    so after a restart; 64 bits, so that two hardly ever meet."""
-    return int.from_bytes(blake2b(instance.encode(), digest_size=8).digest(), "big")
-
-
 # So many endpoints told away are remembered, the latest: no list is that old.
 LEFT_MOST = 4096
 
@@ -127,6 +122,7 @@
         upstream: Upstream,
         drain_grace_us: int,
         wall_us: Callable[[], int] = lambda: time.time_ns() // 1000,
+        state: Path | None = None,
     ) -> None:
         self.loop, self.settings, self.names, self.upstream = loop, settings, names, upstream
         self.balancer = Balancer(seed, settings)
@@ -140,6 +136,7 @@
         self.todo: deque[tuple[Callable[..., list[Action]], tuple[Any, ...], Call | None]] = deque()
         self.busy = False
         upstream.ended, upstream.may_start = self.ended, self.may_start
+        self.bans = Bans(state, self._banned)
 
     # --- Clock and events ---------------------------------------------------------
 
@@ -203,6 +200,7 @@
             read = [self._entry(one) for one in raw]
         except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
             raise ValueError(f"no entry: {error!r}") from None
+        self.bans.note(one["instanceId"] for one in raw)
         read = [one for one in read if not self._outdated(version, *one)]
         now = self.now()
         # Guards memory where endpoints come and go: past the grace nothing may start there.
@@ -264,6 +262,10 @@
         self.places[number] = place
         same = old is not None and old.left_at is None
         if old is None or not same or (old.address, old.started_ms) != (place.address, place.started_ms):
+            self._open(number, place)
+
+    def _open(self, number: int, place: Place) -> None:
+        if number not in self.bans.out:
             host, _, port = place.address.rpartition(":")
             self.upstream.place(number, host, int(port))
 
@@ -275,6 +277,21 @@
             place.left_at = now
             self.upstream.remove(number)
 
+    # --- Operators --------------------------------------------------------------------
+
+    def _banned(self, number: int, out: bool) -> None:
+        """Told on any thread; `may_start` heeds the ban from before this on."""
+        self.loop.call_soon_threadsafe(self._detach if out else self._attach, number)
+
+    def _detach(self, number: int) -> None:
+        self.upstream.remove(number)
+        self.tell(self.balancer.detach, number)
+
+    def _attach(self, number: int) -> None:
+        if (place := self.places.get(number)) is not None and place.left_at is None:
+            self._open(number, place)
+        self.tell(self.balancer.attach, number)
+
     # --- Callers ----------------------------------------------------------------------
 
     def take(self, call: Call) -> None:
@@ -323,6 +340,8 @@
         place = self.places.get(attempt.endpoint)
         if place is None or not attempt.call.open or now >= attempt.until:
             return False
+        if attempt.endpoint in self.bans.out:
+            return False
         return place.left_at is None or now < place.left_at + self.drain_grace_us
 
     def _send(self, action: Send) -> None:
--- /dev/null
+++ b/woadyard/net/state.py
@@ -0,0 +1,148 @@
+"""What operators took out, and which ids were ever listed.
+
+It is shared by the processes of one sidecar and outlives each of them, through
+one small file in `$TMPDIR`: written aside and renamed, so that no reader sees
+half of it, and read, changed and written under a lock.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import os
+import sys
+import threading
+from collections.abc import Callable, Iterable
+from hashlib import blake2b
+from pathlib import Path
+
+# Names that are remembered, the latest: guards memory where endpoints come and go.
+LISTED_MOST = 50_000
+# How often the file is looked at: well within the grace of a drain.
+LOOK_S = 0.05
+
+
+def endpoint_number(instance: str) -> int:
+    """From the name alone, so that all sidecars sort and group alike, and do
+    so after a restart; 64 bits, so that two hardly ever meet."""
+    return int.from_bytes(blake2b(instance.encode(), digest_size=8).digest(), "big")
+
+
+def _texts(raw: object) -> dict[str, None]:
+    if not isinstance(raw, list) or not all(isinstance(one, str) for one in raw):
+        raise ValueError("no list of names")
+    return dict.fromkeys(raw)
+
+
+class Bans:
+    """Safe to use from any thread. What it holds in memory binds at once; the
+    file follows. `changed` is told each endpoint that went out or came back."""
+
+    def __init__(self, path: Path | None, changed: Callable[[int, bool], None]) -> None:
+        self.path, self.changed = path, changed
+        self.guard = threading.Lock()
+        self.listed: dict[str, None] = {}  # the oldest first
+        self.banned: dict[str, None] = {}
+        self.out: set[int] = set()  # numbers of those banned
+        self.unsaved = False
+        self.seen: tuple[int, int, int] | None = None  # the file as it was last read
+        self.failed = ""  # the last error that was logged
+        self.look()
+
+    def note(self, instances: Iterable[str]) -> None:
+        """These were listed: the next look saves it."""
+        with self.guard:
+            for instance in instances:
+                if instance not in self.listed:
+                    self.listed[instance] = None
+                    self.unsaved = True
+            while len(self.listed) > LISTED_MOST:
+                del self.listed[next(iter(self.listed))]
+
+    def detach(self, instance: str) -> bool:
+        """Take it out; False where no list ever named it."""
+        return self._set(instance, True)
+
+    def attach(self, instance: str) -> bool:
+        return self._set(instance, False)
+
+    def _set(self, instance: str, out: bool) -> bool:
+        self.look()  # the other process may have heard of it first
+        with self.guard:
+            if instance not in self.listed:
+                return False
+            self._apply({**self.banned, instance: None} if out else self._without(instance))
+            if self.path is not None:
+                self._locked(self._write)
+        return True
+
+    def _without(self, instance: str) -> dict[str, None]:
+        return {name: None for name in self.banned if name != instance}
+
+    def look(self) -> None:
+        """Take over what another process wrote, and save what is new here."""
+        with self.guard:
+            if self.path is None or (self._signature() == self.seen and not self.unsaved):
+                return
+            self._locked(self._exchange)
+
+    def _signature(self) -> tuple[int, int, int] | None:
+        assert self.path is not None
+        try:
+            stat = os.stat(self.path)
+        except OSError:
+            return None
+        return stat.st_ino, stat.st_mtime_ns, stat.st_size
+
+    def _locked(self, act: Callable[[], None]) -> None:
+        """A state that can't be kept stops nothing: what is in memory holds."""
+        assert self.path is not None
+        try:
+            with open(self.path.with_suffix(".lock"), "w") as lock:
+                fcntl.flock(lock, fcntl.LOCK_EX)
+                act()
+        except OSError as error:
+            if str(error) != self.failed:  # once for each cause
+                self.failed = str(error)
+                print(f"woadyard: state is not kept: {error}", file=sys.stderr, flush=True)
+
+    def _exchange(self) -> None:
+        self._read()
+        if self.unsaved:
+            self._write()
+
+    def _read(self) -> None:
+        """A file that can't be read says nothing; the next change writes it anew."""
+        assert self.path is not None
+        self.seen = self._signature()
+        try:
+            raw = json.loads(self.path.read_bytes())
+            listed, banned = _texts(raw["listed"]), _texts(raw["banned"])
+        except FileNotFoundError:
+            return
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            print(
+                f"woadyard: state is not read: {type(error).__name__}: {error}", file=sys.stderr, flush=True
+            )
+            return
+        self.unsaved |= not self.listed.keys() <= listed.keys()
+        self.listed = {**listed, **self.listed}
+        self._apply(banned)
+
+    def _apply(self, banned: dict[str, None]) -> None:
+        before, self.banned = self.banned, banned
+        for instance in banned:
+            if instance not in before:
+                self.out.add(number := endpoint_number(instance))
+                self.changed(number, True)
+        for instance in before:
+            if instance not in banned:
+                self.out.discard(number := endpoint_number(instance))
+                self.changed(number, False)
+
+    def _write(self) -> None:
+        assert self.path is not None
+        aside = self.path.with_suffix(".new")
+        aside.write_text(json.dumps({"banned": list(self.banned), "listed": list(self.listed)}))
+        os.replace(aside, self.path)
+        self.seen, self.unsaved = self._signature(), False
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -14,11 +14,12 @@
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Sequence
+from dataclasses import replace
 from itertools import pairwise
 from math import ceil, exp, log, sqrt
 
 from woadyard.interface import (  # isort: skip
-    CANCELLED, ERROR, FULL, KEYED, LIST_DELTA, LIST_FAILED, NEVER_RAN, NO_CONNECT, OK, READY, RESET,
+    CANCELLED, ERROR, FULL, KEYED, LIST_DELTA, LIST_FAILED, MOOT, NEVER_RAN, NO_CONNECT, OK, READY, RESET,
     SAFE, SCOPE_ALL, SCOPE_ZONE, TIMEOUT, WAITING, Action, Arrival, Cancel, Close, Entry, Fail,
     Outcome, Probed, Refuse, RequestClass, Send, Settings, Timer, Watch,
 )  # fmt: skip
@@ -151,6 +152,11 @@
 # A handshake costs at least this part of a request's worth, priced or not.
 HANDSHAKE_LEAST = 0.01
 
+# One put back is sent its first request within this, each copy at its own time.
+TRIAL_WITHIN_US = 2_000_000
+# One that can't be reached yet is tried again after this, for so long.
+TRY_AGAIN_US, TRY_FOR_US = 500_000, 5_000_000
+
 TIMER_HOLD, TIMER_WATCH = range(2)
 TIMER_KINDS = 2
 
@@ -159,13 +165,13 @@
     """What this copy knows of one endpoint."""
 
     __slots__ = (
-        "boot", "budget", "budget_at", "cell", "crowded", "health", "id", "inflight",
-        "key", "kinds", "links", "own", "quiet_since", "rating", "ready", "samples", "slowness",
+        "boot", "budget", "budget_at", "cell", "crowded", "entry", "health", "id", "inflight", "key",
+        "kinds", "links", "own", "quiet_since", "rating", "ready", "samples", "slowness",
         "slowness_at", "told_at", "waiting", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry, kinds: int) -> None:
-        self.id = entry.endpoint
+        self.id, self.entry = entry.endpoint, entry
         self.kinds = kinds  # of requests
         self.key = ring_key(entry.cell, entry.endpoint)
         self.cell = entry.cell
@@ -451,6 +457,9 @@
         self.ring: Ring = []
         self.groups: list[Group] = []
         self.arc_size, self.depth, self.unheard = 1.0, 1, 0  # calls to discovery failed in a row
+        self.banned: dict[int, Entry | None] = {}  # taken out by operators, as listed by now
+        self.attached: dict[int, int] = {}  # put back by them: when
+        self.trials: dict[int, int] = {}  # of those, not yet sent anything: not before
         self.requests: dict[int, Request] = {}
         self.ended: dict[int, Request] = {}  # over, but with attempts still out
         self.turns: dict[int, Turn] = {}
@@ -503,6 +512,8 @@
         self.unheard, changed = 0, False
         if mode != LIST_DELTA:
             named = {entry.endpoint for entry in entries}
+            for banned in self.banned.keys() - named:
+                self.banned[banned] = None
             for endpoint in list(self.endpoints.values()):
                 if endpoint.id not in named:
                     changed |= self._remove(endpoint)
@@ -512,14 +523,49 @@
             self._cut()
         return self._taken(now)
 
+    def detach(self, now: int, number: int) -> list[Action]:
+        """An operator takes an endpoint out: no list brings it back before `attach`."""
+        endpoint = self.endpoints.get(number)
+        self.banned[number] = endpoint.entry if endpoint and endpoint.ready else self.banned.get(number)
+        if endpoint and self._remove(endpoint):
+            self._cut()
+        return self._taken(now)
+
+    def attach(self, now: int, number: int) -> list[Action]:
+        """Back in. It may have been restarted meanwhile, told or not, so it counts
+        as just started; one first request is due, as its draws may be few."""
+        if number in self.banned:
+            self.attached = {one: at for one, at in self.attached.items() if now < at + self.s.cold_us}
+            self.attached[number] = now
+            entry = self.banned.pop(number)
+            if entry and self._apply(now, entry):
+                self._cut()
+            self.trials[number] = now + int(self.rng.random() * TRIAL_WITHIN_US)
+        return self._taken(now)
+
+    def _trial(self, now: int, request: Request) -> Endpoint | None:
+        """An endpoint that came back and is due its first request."""
+        for number, due in self.trials.items():
+            endpoint = self.endpoints.get(number)
+            if endpoint and endpoint.own and endpoint.ready and now >= due and not request.attempts:
+                endpoint.budget = max(1.0, endpoint.budget)
+                return endpoint
+        return None
+
     def _apply(self, now: int, entry: Entry) -> bool:
         endpoint = self.endpoints.get(entry.endpoint)
+        if entry.endpoint in self.banned:
+            self.banned[entry.endpoint] = entry if entry.phase == READY else None
+            return False
         if entry.phase != READY:
             return self._remove(endpoint) if endpoint else False
+        if (at := self.attached.get(entry.endpoint, 0)) > entry.boot:
+            entry = replace(entry, boot=at)
         if endpoint is None:
             endpoint = self.endpoints[entry.endpoint] = Endpoint(
                 entry, len(self.s.classes) * max(1, len(self.s.tenants))
             )
+        endpoint.entry = entry
         endpoint.rating = entry.rating if entry.rating > 0 else 1.0
         if entry.boot != endpoint.boot or not endpoint.ready:
             if entry.boot != endpoint.boot:
@@ -602,7 +648,7 @@
         maybe = request.first_maybe()
         if maybe is not None and request.cls.effect == KEYED and request.cls.scope != SCOPE_ALL:
             return self._choose_among(now, request, [s for _, s in self.ring if self._in_scope(request, s)])
-        found = self._choose(now, request, self.groups)
+        found = self._trial(now, request) or self._choose(now, request, self.groups)
         if found is None and self.arc_size < len(self.ring):
             # The whole arc is unusable: fall back on the ring.
             found = self._choose_among(now, request, [s for _, s in self.ring])
@@ -781,6 +827,7 @@
             if self._cold_budget(now, endpoint) < 1.0:
                 return False
             endpoint.budget -= 1.0
+        self.trials.pop(endpoint.id, None)
         request.attempts.append(attempt := Attempt(endpoint, now))
         self._connect(now, attempt)
         if not endpoint.inflight:
@@ -872,7 +919,8 @@
 
     def _try(self, now: int, request: Request) -> None:
         """Send the request somewhere, hold it within its aim, or end it."""
-        if not self._may_repeat(now, request):
+        # With all endpoints taken out there is nothing to wait for.
+        if not self._may_repeat(now, request) or (self.banned and not self.ring):
             self._end(now, request)
             return
         if waits := self._has_turn(now, request):
@@ -917,6 +965,8 @@
             if 0.0 <= waiting < MAX_HELD:
                 endpoint.waiting, endpoint.told_at = waiting, now
         request = self.requests.get(event.request) or self.ended.get(event.request)
+        if outcome in (NO_CONNECT, MOOT) and now < self.attached.get(event.endpoint, now) + TRY_FOR_US:
+            self.trials[event.endpoint] = now + TRY_AGAIN_US  # it heard of nothing yet
         if endpoint is not None and outcome in BLAME:
             self._blame(now, endpoint, outcome, request.sort if request else 0)
         if request is None or event.copy >= len(request.attempts):
