Swap in new settings whole at SIGHUP, or turn the file down whole

Design. net/config.py reads the file again and checks all of it, then the settings and the address are swapped. Every key of the file in force has to be there: a default in place of a lost key would loosen a rule without a word. Classes are numbered for good: one that changes gets a new number, so calls under way keep theirs, with its effect; one that comes back gets its old one. Fewer attempts hold at once, more only for new requests. The module has one event, `retune`, and keeps what it learned.

Not taken: a new Balancer for new settings: it would forget which endpoints are cold, banned or bad, and the calls under way. Renumbering the classes: each index that a request holds would have to be followed.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from woadyard.net.discovery import Discovery
-from woadyard.net.driver import Driver, Names
+from woadyard.net.driver import Driver
 from woadyard.net.server import Server
 from woadyard.net.upstream import Upstream
 from woadyard.wire import read_settings
@@ -186,8 +186,8 @@
         for endpoint in endpoints:
             listener = await endpoint.start()
             stack.callback(listener.close)
-        upstream = Upstream(loop, Driver.now, settings.idle_us, settings.connect_timeout_us, 64)
-        driver = Driver(loop, 1, settings, Names(raw, settings), upstream, 500_000)
+        upstream = Upstream(loop, Driver.now, 64)
+        driver = Driver(loop, 1, settings, raw, upstream)
         if registry is not None:
             listener = await registry.start()
             stack.callback(listener.close)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,15 +3,37 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import json
 import signal
 import socket
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from itertools import count, islice
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from tests.process import call, config, free_port, ready, start
-from tests.sockets import Endpoint, Message, Registry, Writer, answer, read_message, request, run
+from tests.sockets import (
+    SETTINGS,
+    Endpoint,
+    Message,
+    Registry,
+    Sidecar,
+    Writer,
+    answer,
+    read_message,
+    request,
+    run,
+    serve_ok,
+    sidecar,
+)
+from woadyard.__main__ import Reload
+from woadyard.net.config import read_config
+from woadyard.net.discovery import Discovery
+from woadyard.net.state import endpoint_number
 
 
 def test_a_second_process_takes_over_on_the_platforms_socket(tmp_path: Path) -> None:
@@ -141,3 +163,138 @@
             assert (new.returncode, errors) == (0, b"")
 
     run(main())
+
+
+def changed(part: str, **changes: Any) -> dict[str, Any]:
+    """The settings with one part of them changed; None takes a key away."""
+    of = SETTINGS["classes"][0] if part == "classes" else SETTINGS[part]
+    new = {key: value for key, value in {**of, **changes}.items() if value is not None}
+    return {**SETTINGS, part: [new, *SETTINGS["classes"][1:]] if part == "classes" else new}
+
+
+@dataclass
+class Tuned:
+    """A sidecar that reloads its file."""
+
+    one: Sidecar
+    path: Path
+    discovery: Discovery
+    reload: Reload
+
+    def read(self, raw: dict[str, Any] | bytes) -> None:
+        self.path.write_bytes(raw if isinstance(raw, bytes) else json.dumps(raw).encode())
+        self.reload()
+
+
+@contextlib.asynccontextmanager
+async def tuned(tmp_path: Path, *endpoints: Endpoint) -> AsyncIterator[Tuned]:
+    registry = Registry()
+    async with sidecar(*endpoints, registry=registry) as one:
+        environ = config(tmp_path, registry)
+        discovery = one.driver.discovery
+        assert discovery is not None
+        read = read_config(environ)
+        yield Tuned(one, Path(environ["LB_CONFIG"]), discovery, Reload(read, one.driver, discovery))
+
+
+BAD_NUMBERS: list[Any] = ["5", True, None, 0, -1, float("nan"), float("inf"), [1]]
+GOOD_FILE: dict[str, Any] = {
+    "name": "n1",
+    "listen": "127.0.0.1:0",
+    "seed": "1",
+    "limits": {},
+    "discovery": "127.0.0.1:9",
+}
+BAD_FILES: list[dict[str, Any] | bytes] = [
+    b"",
+    b"[]",
+    json.dumps({**GOOD_FILE, "settings": SETTINGS}).encode()[:-40],
+    *({**GOOD_FILE, "settings": changed("classes", **{"deadline-us": bad})} for bad in BAD_NUMBERS),
+    *({**GOOD_FILE, "settings": changed("ceilings", **{"max-attempts": bad})} for bad in BAD_NUMBERS),
+    {**GOOD_FILE, "settings": changed("classes", repeat="whatever")},
+    {**GOOD_FILE, "settings": changed("classes", name="put")},
+    {**GOOD_FILE, "settings": {**SETTINGS, "classes": []}},
+    {**GOOD_FILE, "settings": {key: SETTINGS[key] for key in SETTINGS if key != "invariants"}},
+    {**GOOD_FILE, "settings": SETTINGS, "discovery": "nowhere"},
+    {"discovery": "127.0.0.1:9", "settings": SETTINGS},
+    {**GOOD_FILE},
+]
+
+
+@pytest.mark.parametrize("raw", BAD_FILES)
+def test_a_bad_file_is_turned_down_whole_with_one_line(
+    tmp_path: Path, raw: dict[str, Any] | bytes, capfd: pytest.CaptureFixture[str]
+) -> None:
+    async def main() -> None:
+        async with tuned(tmp_path, Endpoint()) as now:
+            before, address = now.one.driver.settings, now.discovery.address
+            now.read(raw)
+            assert now.one.driver.settings is before and now.discovery.address == address
+            assert (await now.one.ask(request())).body == b"ok"
+        errors = capfd.readouterr().err
+        assert errors.count("\n") == 1 and errors.startswith("woadyard: not reloaded: ")
+
+    run(main())
+
+
+def test_classes_appear_vanish_and_change_and_calls_under_way_keep_theirs(tmp_path: Path) -> None:
+    async def main() -> None:
+        broken = asyncio.Event()
+
+        async def reset(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            if len(endpoint.got) == 1:
+                await broken.wait()
+                writer.transport.abort()
+            else:
+                writer.write(answer())
+
+        async with tuned(tmp_path, Endpoint(reset), Endpoint(serve_ok)) as now:
+            pick = now.one.driver.balancer.endpoints
+            first = pick[endpoint_number("s-0")]
+            vars(now.one.driver.balancer)["_trial"] = lambda at, call: None if call.attempts else first
+            under_way = asyncio.create_task(now.one.ask(request("page")))
+            while not now.one.driver.calls or not first.inflight:
+                await asyncio.sleep(0)
+            vars(now.one.driver.balancer)["_trial"] = lambda at, call: None
+            page, put, _ = SETTINGS["classes"]
+            stricter = {**page, "repeat": "fragile"}
+            fresh = {**page, "name": "fresh"}
+            now.read({**GOOD_FILE, "settings": {**SETTINGS, "classes": [fresh, stricter, put]}})
+            assert (await now.one.ask(request("pay"))).start.split()[1] == "404"
+            assert (await now.one.ask(request("page", rid="get"))).start.split()[1] == "405"
+            post = request("page", rid="post").replace(b"GET ", b"POST ")
+            assert (await now.one.ask(post)).body == b"ok"
+            again = request("page", rid="fresh").replace(b"page", b"fresh")
+            assert (await now.one.ask(again)).body == b"ok"
+            broken.set()
+            assert (await under_way).body == b"ok", "repeated, as its class then allowed"
+            now.read({**GOOD_FILE, "settings": SETTINGS})
+            assert (await now.one.ask(request("pay", rid="back"))).body == b"ok"
+            assert len(now.one.driver.settings.classes) == 5, "what came back has its old number"
+
+    run(main())
+
+
+def test_fewer_attempts_hold_at_once(tmp_path: Path) -> None:
+    async def main() -> None:
+        async def fail(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            writer.write(answer(500))
+
+        ends = [Endpoint(fail) for _ in range(4)]
+        async with tuned(tmp_path, *ends) as now:
+            now.read({**GOOD_FILE, "settings": changed("ceilings", **{"max-attempts": 1})})
+            await now.one.ask(request())
+            assert sum(len(one.got) for one in ends) == 1
+
+    run(main())
+
+
+def test_a_good_file_moves_discovery_with_its_settings(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with tuned(tmp_path, Endpoint()) as now:
+            now.read({**GOOD_FILE, "settings": {**SETTINGS, "invariants": {"drain-grace-us": 7}}})
+            assert now.discovery.address == "127.0.0.1:9" and now.one.driver.drain_grace_us == 7
+            now.read(b"{")
+            assert now.discovery.address == "127.0.0.1:9", "the last good file stays in force"
+
+    run(main())
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -971,6 +971,7 @@
             process.send_signal(signal.SIGHUP)
             start_line, watch = await new.asked.get()
             assert "from=5 " in start_line
+            assert (await process.stderr.readline()).startswith(b"woadyard: reloaded: ")
             watch.close()  # no list came: the new address is asked again
             await new.asked.get()
             process.send_signal(signal.SIGTERM)
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -4,120 +4,47 @@
 
 import asyncio
 import gc
-import json
 import os
 import random
 import signal
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 from http import HTTPStatus
-from pathlib import Path
-from typing import Any
-from urllib.parse import quote
 
 import uvloop
 
-from woadyard.interface import Settings
+from woadyard.net.config import SOCKETS_DEFAULT, Config, ConfigError, read_again, read_config
 from woadyard.net.console import DESCRIPTORS, CallError, Console, Route, Routes
 from woadyard.net.discovery import Discovery
-from woadyard.net.driver import Driver, Names
+from woadyard.net.driver import Driver
 from woadyard.net.server import Server
 from woadyard.net.state import LOOK_S, Bans
 from woadyard.net.upstream import Upstream
-from woadyard.wire import WireError, read_settings
 
 LIST_PATH = "/registry/instances"
-SOCKETS_DEFAULT = 1024
 OTHER_SOCKETS = 32
 
 
-class ConfigError(Exception):
-    """The configuration can't be used; the text says why, on one line."""
+class Reload:
+    """SIGHUP: new settings and discovery's address, all of a file or nothing."""
 
+    def __init__(self, config: Config, driver: Driver, discovery: Discovery) -> None:
+        self.path, self.force = config.path, config.raw
+        self.driver, self.discovery = driver, discovery
 
-@dataclass(frozen=True)
-class Config:
-    path: str
-    listen: tuple[str, int]
-    accept: int | None  # a listening socket that the platform holds
-    console: tuple[str, int] | None
-    discovery: str
-    seed: int
-    sockets: int
-    settings: Settings
-    names: Names
-    drain_grace_us: int
-    known: dict[str, Any] | None
-    state: Path | None  # what outlives this process; nothing where none is kept
-
-
-def address(text: Any) -> tuple[str, int]:
-    host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise ConfigError(f"no address: {text!r}")
-    return host, int(port)
-
-
-def state_path(environ: dict[str, str], raw: dict[str, Any]) -> Path | None:
-    """One file for each sidecar, should several share the folder."""
-    folder, name = environ.get("TMPDIR"), str(environ.get("LB_NAME") or raw.get("name", ""))
-    return Path(folder) / f"woadyard-{quote(name, safe='')}.json" if folder else None
-
-
-def read_config(environ: dict[str, str]) -> Config:
-    path = environ.get("LB_CONFIG")
-    if not path:
-        raise ConfigError("LB_CONFIG is not set")
-    try:
-        with open(path, "rb") as file:
-            raw = json.load(file)
-        settings = read_settings(json.dumps(raw["settings"]).encode())
-        rules = raw["settings"].get("invariants", {})
-        known = raw.get("known")
-        if known is not None and not (isinstance(known["instances"], list) and int(known["generation"]) >= 0):
-            raise ConfigError("known is no list of endpoints")
-        discovery = str(environ.get("LB_DISCOVERY") or raw["discovery"])
-        address(discovery)
-        accept = environ.get("LB_ACCEPT_FD")
-        console = environ.get("LB_CONSOLE") or raw.get("console")
-        return Config(
-            path=path,
-            listen=address(environ.get("LB_LISTEN") or raw["listen"]),
-            accept=int(accept) if accept else None,
-            console=address(console) if console else None,
-            discovery=discovery,
-            seed=int(str(raw.get("seed", "0")), 16),
-            sockets=int(raw.get("limits", {}).get("sockets", SOCKETS_DEFAULT)),
-            settings=settings,
-            names=Names(raw["settings"], settings),
-            drain_grace_us=int(rules.get("drain-grace-us", 0)),
-            known=known,
-            state=state_path(environ, raw) if console else None,
-        )
-    except (OSError, ValueError, KeyError, TypeError, AttributeError, WireError) as error:
-        raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
-
-
-def moved_to(path: str) -> str:
-    """Discovery's address by the file as it is now: what the environment said
-    at the start is the older word."""
-    try:
-        with open(path, "rb") as file:
-            discovery = str(json.load(file)["discovery"])
-        address(discovery)
-    except (OSError, ValueError, KeyError, TypeError) as error:
-        raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
-    return discovery
-
-
-def reload(discovery: Discovery, path: str) -> None:
-    """SIGHUP: only discovery's address may change while the sidecar runs."""
-    try:
-        discovery.move(moved_to(path))
-    except ConfigError as error:
-        print(f"woadyard: not reloaded: {error}", file=sys.stderr, flush=True)
+    def __call__(self) -> None:
+        try:
+            raw, settings = read_again(self.path, self.force)
+        except ConfigError as error:
+            print(f"woadyard: not reloaded: {error}", file=sys.stderr, flush=True)
+            return
+        self.force = raw
+        self.driver.retune(raw["settings"], settings)
+        self.discovery.move(str(raw["discovery"]))
+        classes = " ".join(sorted(self.driver.names.classes))
+        text = f"reloaded: classes {classes}; attempts {settings.max_attempts}; discovery {raw['discovery']}"
+        print(f"woadyard: {text}", file=sys.stderr, flush=True)
 
 
 def routes(server: Server, bans: Bans) -> Routes:
@@ -159,20 +86,18 @@
     # Both sides share the sockets, less some for the listener, the watch and the loop.
     aside = OTHER_SOCKETS + (DESCRIPTORS if config.console else 0)
     most = max(16, min(config.sockets, SOCKETS_DEFAULT) - aside)
-    settings = config.settings
-    upstream = Upstream(loop, Driver.now, settings.idle_us, settings.connect_timeout_us, most)
-    driver = Driver(
-        loop, config.seed, settings, config.names, upstream, config.drain_grace_us, state=config.state
-    )
+    upstream = Upstream(loop, Driver.now, most)
+    raw = config.raw["settings"]
+    driver = Driver(loop, config.seed, config.settings, raw, upstream, state=config.state)
     discovery = driver.discovery = Discovery(
         loop,
         config.discovery,
         LIST_PATH,
-        not settings.asks_discovery,
+        not config.settings.asks_discovery,
         driver.listed,
         random.Random(config.seed),
     )
-    loop.add_signal_handler(signal.SIGHUP, reload, discovery, config.path)
+    loop.add_signal_handler(signal.SIGHUP, Reload(config, driver, discovery))
     try:
         driver.start(config.known)
     except ValueError as error:
--- a/woadyard/interface.py
+++ b/woadyard/interface.py
@@ -8,6 +8,7 @@
 
     start(now)                the sidecar is up; a cached list follows
     members(now, mode, list)  discovery's view: LIST_FULL, _DELTA, _CACHED, _FAILED
+    retune(now, Settings)     new settings; classes keep their numbers, more may follow
     detach(now, endpoint)     an operator takes it out, above all lists
     attach(now, endpoint)     and puts it back
     request(now, Arrival)     a request to be answered exactly once
@@ -85,6 +86,7 @@
     Times in µs; prices in points of service, each for its rate or share."""
 
     classes: tuple[RequestClass, ...]
+    retired: frozenset[int] = frozenset()  # numbers of classes that take no new requests
     me: int = 0  # this copy's number; may be past `instances` while a tier grows
     instances: int = 1  # copies of this tier at the start
     zone: int = 0
--- /dev/null
+++ b/woadyard/net/config.py
@@ -0,0 +1,140 @@
+"""The configuration: read at the start, and again whole at each SIGHUP."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from math import inf
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote
+
+from woadyard.interface import Settings
+from woadyard.wire import WireError, read_settings
+
+SOCKETS_DEFAULT = 1024
+# What each class must say in a file read again, and a keyed one besides.
+CLASS_KEYS = ("name", "repeat", "aim-us", "deadline-us")
+KEYED_KEYS = ("dedup-scope", "repeat-window-us")
+# May be missing from a file read again: lists come from discovery by then.
+START_ONLY = frozenset(("known",))
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text says why, on one line."""
+
+
+FAULTS = (OSError, ValueError, KeyError, TypeError, AttributeError, OverflowError, WireError)
+
+
+@dataclass(frozen=True)
+class Config:
+    path: str
+    raw: dict[str, Any]
+    listen: tuple[str, int]
+    accept: int | None  # a listening socket that the platform holds
+    console: tuple[str, int] | None
+    discovery: str
+    seed: int
+    sockets: int
+    settings: Settings
+    known: dict[str, Any] | None
+    state: Path | None  # what outlives this process; nothing where none is kept
+
+
+def address(text: Any) -> tuple[str, int]:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"no address: {text!r}")
+    return host, int(port)
+
+
+def state_path(environ: dict[str, str], raw: dict[str, Any]) -> Path | None:
+    """One file for each sidecar, should several share the folder."""
+    folder, name = environ.get("TMPDIR"), str(environ.get("LB_NAME") or raw.get("name", ""))
+    return Path(folder) / f"woadyard-{quote(name, safe='')}.json" if folder else None
+
+
+def read_config(environ: dict[str, str]) -> Config:
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG is not set")
+    try:
+        raw = read_file(path)
+        known = raw.get("known")
+        if known is not None and not (isinstance(known["instances"], list) and int(known["generation"]) >= 0):
+            raise ConfigError("known is no list of endpoints")
+        discovery = str(environ.get("LB_DISCOVERY") or raw["discovery"])
+        address(discovery)
+        accept = environ.get("LB_ACCEPT_FD")
+        console = environ.get("LB_CONSOLE") or raw.get("console")
+        return Config(
+            path=path,
+            raw=raw,
+            listen=address(environ.get("LB_LISTEN") or raw["listen"]),
+            accept=int(accept) if accept else None,
+            console=address(console) if console else None,
+            discovery=discovery,
+            seed=int(str(raw.get("seed", "0")), 16),
+            sockets=int(raw.get("limits", {}).get("sockets", SOCKETS_DEFAULT)),
+            settings=read_settings(json.dumps(raw["settings"]).encode()),
+            known=known,
+            state=state_path(environ, raw) if console else None,
+        )
+    except FAULTS as error:
+        raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
+
+
+def read_file(path: str) -> dict[str, Any]:
+    with open(path, "rb") as file:
+        raw = json.load(file)
+    if not isinstance(raw, dict):
+        raise ValueError("the file is no object")
+    return raw
+
+
+def read_again(path: str, force: dict[str, Any]) -> tuple[dict[str, Any], Settings]:
+    """The file as it is now, checked whole before any of it is used. It has to
+    say all that the one in force says: a default in place of a key that was
+    lost would loosen a rule without a word. What the environment said at the
+    start of discovery's address is the older word."""
+    try:
+        raw = read_file(path)
+        _has_all(raw, force, "", START_ONLY)
+        address(raw["discovery"])
+        settings = raw["settings"]
+        _has_all(settings, force["settings"], "settings.")
+        for part in ("ceilings", "invariants"):
+            _has_all(settings.get(part, {}), force["settings"].get(part, {}), f"settings.{part}.")
+        if "max-attempts" in settings.get("ceilings", {}):
+            _above_zero(settings["ceilings"], "max-attempts")
+        for entry in settings["classes"]:
+            _check_class(entry)
+        if len({entry["name"] for entry in settings["classes"]}) < len(settings["classes"]):
+            raise ValueError("a class is there twice")
+        return raw, read_settings(json.dumps(settings).encode())
+    except FAULTS as error:
+        raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
+
+
+def _has_all(new: dict[str, Any], old: dict[str, Any], where: str, but: frozenset[str] = frozenset()) -> None:
+    if not isinstance(new, dict):
+        raise ValueError(f"{where or 'the file'} is no object")
+    if lost := sorted(old.keys() - new.keys() - but):
+        raise ValueError(f"{where}{lost[0]} is missing")
+
+
+def _check_class(entry: dict[str, Any]) -> None:
+    for key in CLASS_KEYS + (KEYED_KEYS if entry["repeat"] == "dedup" else ()):
+        if key not in entry:
+            raise ValueError(f"a class lacks {key}")
+    if not isinstance(entry["name"], str) or not entry["name"]:
+        raise ValueError("a class has no name")
+    _above_zero(entry, "aim-us")
+    _above_zero(entry, "deadline-us")
+
+
+def _above_zero(of: dict[str, Any], key: str) -> None:
+    value = of[key]
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < inf:
+        raise ValueError(f"{key} is no number above 0: {value!r}")
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -13,6 +13,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from math import ceil, nan
 from pathlib import Path
 from typing import Any
@@ -48,6 +49,7 @@
     Log,
     Outcome,
     Refuse,
+    RequestClass,
     Send,
     Settings,
     Timer,
@@ -74,8 +76,8 @@
 class Names:
     """Numbers of the names that travel on the sockets."""
 
-    def __init__(self, raw: dict[str, Any], settings: Settings) -> None:
-        self.classes = {str(entry["name"]): n for n, entry in enumerate(raw["classes"])}
+    def __init__(self, raw: dict[str, Any], settings: Settings, classes: dict[str, int]) -> None:
+        self.classes = classes  # those in force; calls under way may be of others
         self.tenants = {str(entry["name"]): n for n, entry in enumerate(raw.get("accounts", ()))}
         self.zones = {str(name): n for n, name in enumerate(raw.get("zones", ()))}
         self.kinds = {str(name): n for n, name in enumerate(raw.get("kinds", ()))}
@@ -118,15 +120,15 @@
         loop: asyncio.AbstractEventLoop,
         seed: int,
         settings: Settings,
-        names: Names,
+        raw: dict[str, Any],
         upstream: Upstream,
-        drain_grace_us: int,
         wall_us: Callable[[], int] = lambda: time.time_ns() // 1000,
         state: Path | None = None,
     ) -> None:
-        self.loop, self.settings, self.names, self.upstream = loop, settings, names, upstream
-        self.balancer = Balancer(seed, settings)
-        self.drain_grace_us = drain_grace_us
+        self.loop, self.upstream = loop, upstream
+        self.numbers: dict[tuple[str, RequestClass], int] = {}  # of each class there ever was
+        self._settle(raw, settings)
+        self.balancer = Balancer(seed, self.settings)
         self.wall_us = wall_us
         self.discovery: Discovery | None = None
         self.places: dict[int, Place] = {}
@@ -138,6 +140,23 @@
         upstream.ended, upstream.may_start = self.ended, self.may_start
         self.bans = Bans(state, self._banned)
 
+    def _settle(self, raw: dict[str, Any], read: Settings) -> None:
+        """Put settings in force. A class keeps its number while it stays as it
+        is; a changed one is a new one, so that calls under way keep theirs."""
+        named = [(str(entry["name"]), cls) for entry, cls in zip(raw["classes"], read.classes, strict=True)]
+        for one in named:
+            self.numbers.setdefault(one, len(self.numbers))
+        force = {name: self.numbers[name, cls] for name, cls in named}
+        retired = frozenset(self.numbers.values()) - frozenset(force.values())
+        self.settings = replace(read, classes=tuple(cls for _, cls in self.numbers), retired=retired)
+        self.names = Names(raw, self.settings, force)
+        self.drain_grace_us = int(raw.get("invariants", {}).get("drain-grace-us", 0))
+        self.upstream.retune(read.idle_us, read.connect_timeout_us)
+
+    def retune(self, raw: dict[str, Any], read: Settings) -> None:
+        self._settle(raw, read)
+        self.tell(self.balancer.retune, self.settings)
+
     # --- Clock and events ---------------------------------------------------------
 
     @staticmethod
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -228,13 +228,10 @@
         self,
         loop: asyncio.AbstractEventLoop,
         now: Callable[[], int],
-        idle_us: int,
-        connect_us: int,
         most: int,
     ) -> None:
         self.loop, self.now = loop, now
-        self.idle_s = IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6
-        self.connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
+        self.retune(0, 0)
         self.most = most  # sockets of both sides
         self.others: Callable[[], int] = lambda: 0  # those of the callers
         self.give_way: Callable[[], None] = lambda: None  # asks them for one
@@ -244,6 +241,10 @@
         self.ended: Ended = lambda *_: None
         self.may_start: Callable[[Attempt, int], bool] = lambda *_: True
 
+    def retune(self, idle_us: int, connect_us: int) -> None:
+        self.idle_s = IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6
+        self.connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
+
     def place(self, endpoint: int, host: str, port: int) -> None:
         """A new process or address: what was open to the old one is of no use."""
         self.remove(endpoint)
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -21,7 +21,7 @@
 from woadyard.interface import (  # isort: skip
     CANCELLED, ERROR, FULL, KEYED, LIST_DELTA, LIST_FAILED, MOOT, NEVER_RAN, NO_CONNECT, OK, READY, RESET,
     SAFE, SCOPE_ALL, SCOPE_ZONE, TIMEOUT, WAITING, Action, Arrival, Cancel, Close, Entry, Fail,
-    Outcome, Probed, Refuse, RequestClass, Send, Settings, Timer, Watch,
+    Outcome, Probed, Refuse, Send, Settings, Timer, Watch,
 )  # fmt: skip
 
 # --- Constants, each with its reason -------------------------------------
@@ -197,6 +197,11 @@
         # By class and tenant: health, when that was, failures in a row (halved by an answer).
         self.health = [(1.0, 0, 0.0)] * self.kinds
 
+    def retune(self, kinds: int, same: bool) -> None:
+        """Classes were added, or (not the same) tenants came and went."""
+        known = self.health if same else []
+        self.kinds, self.health = kinds, known + [(1.0, 0, 0.0)] * (kinds - len(known))
+
 
 # Endpoints of a group, each with the share of it that lies inside.
 Group = list[tuple[Endpoint, float]]
@@ -243,22 +248,25 @@
 
 class Request:
     __slots__ = (
-        "arrived", "attempts", "cls", "expires", "id", "key", "kind", "sort",
-        "streaming", "tenant",
+        "arrived", "attempts", "cls", "expires", "id", "key", "kind", "most", "sort", "streaming", "tenant",
     )  # fmt: skip
 
-    def __init__(self, now: int, event: Arrival, cls: RequestClass, tenants: int) -> None:
+    def __init__(self, now: int, event: Arrival, settings: Settings) -> None:
         self.id = event.request
         self.arrived = now
         self.kind = event.cls
-        self.sort = event.cls * tenants + min(event.tenant, tenants - 1)
-        self.cls = cls
+        self.cls = settings.classes[event.cls]
+        self.most = settings.max_attempts
         self.tenant = event.tenant
-        self.key = event.key if cls.sequential else 0
+        self.settle(max(1, len(settings.tenants)))
+        self.key = event.key if self.cls.sequential else 0
         self.expires = event.expires
         self.attempts: list[Attempt] = []
         self.streaming = False
 
+    def settle(self, tenants: int) -> None:
+        self.sort = self.kind * tenants + min(self.tenant, tenants - 1)
+
     def outstanding(self) -> bool:
         return any(attempt.out for attempt in self.attempts)
 
@@ -450,9 +458,10 @@
 
 class Balancer:
     def __init__(self, seed: int, settings: Settings) -> None:
-        self.s = settings
         self.rng = random.Random(seed)
         self.out: list[Action] = []
+        self.latencies: list[Latency] = []
+        self._derive(settings)
         self.endpoints: dict[int, Endpoint] = {}
         self.ring: Ring = []
         self.groups: list[Group] = []
@@ -469,22 +478,41 @@
         self.kept = (0, 0)  # when the last one answered was sent, and its rest
         self.wary_of, self.wary_for = 0.0, 0.0  # rests from this on, for so many sends
         self.heal_sends = 0.0  # time in which an endpoint is sent HEAL_SENDS
-        self.proofs = NEVER_RAN - {FULL} if settings.full_unproven else NEVER_RAN
         self.retry_tokens = RETRY_CAP / 2
-        self.rate_memory = RATE_MEMORY * max(c.aim_us for c in settings.classes)
         self.sends = self.served = Rate(self.rate_memory, 0)
-        self.longest_aim = max(c.aim_us for c in settings.classes)
-        self.latencies = [Latency() for _ in settings.classes]
         self.latency = Latency()
+        self.admission = Admission(self.longest_aim)
+
+    def _derive(self, settings: Settings) -> None:
+        """All that follows from the settings alone."""
+        self.s = settings
+        self.proofs = NEVER_RAN - {FULL} if settings.full_unproven else NEVER_RAN
+        self.longest_aim = max(c.aim_us for n, c in enumerate(settings.classes) if n not in settings.retired)
+        self.rate_memory = RATE_MEMORY * self.longest_aim
+        self.latencies += [Latency() for _ in settings.classes[len(self.latencies) :]]
         fields = settings.report_fields
         self.waiting_at = fields.index(WAITING) if WAITING in fields else len(fields)
-        self.admission = Admission(self.longest_aim)
         # Guards punctuality where it counts: with tails that fall off evenly, a share
         # of 1 - ADMIT_GOOD past this part of the aim is as many misses as are allowed.
         self.good_part, goal = 1.0, settings.goal
         if goal.punctual > 0.0 and 0.0 < goal.miss_allowed < 1.0:
             self.good_part = min(1.0, log(1.0 - ADMIT_GOOD) / log(goal.miss_allowed))
         self.worth = Worth(settings, self.longest_aim)
+        self.tenants = max(1, len(settings.tenants))
+        self.kinds = len(settings.classes) * self.tenants
+
+    def retune(self, now: int, settings: Settings) -> list[Action]:
+        """New settings. Classes keep their numbers and a request under way its class;
+        what was learned stays, but by tenant only while the tenants are the same."""
+        same = settings.tenants == self.s.tenants
+        self._derive(settings)
+        self.sends.memory = self.served.memory = self.rate_memory
+        for endpoint in self.endpoints.values():
+            endpoint.retune(self.kinds, same)
+        for request in [*self.requests.values(), *self.ended.values()]:
+            request.settle(self.tenants)
+        self._cut()
+        return self._taken(now)
 
     def _taken(self, now: int) -> list[Action]:
         while self.moved:
@@ -562,9 +590,7 @@
         if (at := self.attached.get(entry.endpoint, 0)) > entry.boot:
             entry = replace(entry, boot=at)
         if endpoint is None:
-            endpoint = self.endpoints[entry.endpoint] = Endpoint(
-                entry, len(self.s.classes) * max(1, len(self.s.tenants))
-            )
+            endpoint = self.endpoints[entry.endpoint] = Endpoint(entry, self.kinds)
         endpoint.entry = entry
         endpoint.rating = entry.rating if entry.rating > 0 else 1.0
         if entry.boot != endpoint.boot or not endpoint.ready:
@@ -803,7 +829,7 @@
 
     def _may_repeat(self, now: int, request: Request) -> bool:
         """Whether a further attempt is allowed at all, wherever it goes."""
-        if len(request.attempts) >= self.s.max_attempts or request.streaming:
+        if len(request.attempts) >= min(request.most, self.s.max_attempts) or request.streaming:
             return False
         if now >= request.expires:
             return False
@@ -939,7 +965,7 @@
     # --- Request lifecycle ----------------------------------------------------------
 
     def request(self, now: int, event: Arrival) -> list[Action]:
-        request = Request(now, event, self.s.classes[event.cls], max(1, len(self.s.tenants)))
+        request = Request(now, event, self.s)
         self.requests[request.id] = request
         self.retry_tokens = min(RETRY_CAP, self.retry_tokens + RETRY_EARN)
         # Nothing was spent on a request yet where it enters; further down, a
