Pass large bodies and answers on as they come, with back-pressure both ways

Bodies over 64 KiB got 413, larger answers ended as resets. Ruled out by a log line for each answer that is no 200: time limits on slow callers cut nobody off. What did, 213 times: white space after X-Class and X-Deadline-Ms that `on_header` in net/server.py took for part of the value, and trailers taken for headers; and early refusals that reset the connection under a body still being written.

Up to 64 KiB either way is held whole and can be sent again. More is passed on as it comes, with the other side's reading paused while this one's buffer holds anything; all connections read into one shared buffer of 32 KiB, so the sum is bounded by small parts. The module is told of the head (the answer is then the caller's, no time runs), of the last byte of a body (time runs from there) and that a body is gone in part and can't be sent again; an endpoint that owes no answer meanwhile is no frozen one. Bodies and answers are timed by progress. An early answer is given at once, and the rest of the body is read and dropped. A break shows to the caller as a reset.

Not taken: spooling to $TMPDIR: it counts as memory. Holding bodies in memory up to a sum: 32 MB, many at once, are past every limit.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -51,10 +51,22 @@
 async def read_message(reader: Reader) -> Message:
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in head[1:] if line)}
+    if headers.get("transfer-encoding") == "chunked":
+        return Message(head[0], headers, await read_chunks(reader))
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     return Message(head[0], headers, body)
 
 
+async def read_chunks(reader: Reader) -> bytes:
+    parts = []
+    while size := int((await reader.readuntil(b"\r\n")).partition(b";")[0], 16):
+        parts.append(await reader.readexactly(size))
+        await reader.readexactly(2)
+    while await reader.readuntil(b"\r\n") != b"\r\n":
+        pass  # trailers
+    return b"".join(parts)
+
+
 def answer(status: int = 200, body: bytes = b"ok", headers: str = "") -> bytes:
     head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{headers}\r\n"
     return head.encode() + body
--- a/woadyard/interface.py
+++ b/woadyard/interface.py
@@ -12,8 +12,9 @@
     detach(now, endpoint)     an operator takes it out, above all lists
     attach(now, endpoint)     and puts it back
     request(now, Arrival)     a request to be answered exactly once
+    whole(now, request, expires)  the last byte of a loading request has come
     outcome(now, Outcome)     how one attempt ended; each `Send` gets one
-    head(now, Outcome)        the answer of a streamed class has started
+    head(now, Outcome)        an answer that is passed on as it comes has started
     gone(now, request)        the client left; nothing more is owed
     timer(now, token)         a `Timer` asked for has come due
     probed(now, Probed)       what a `Probe` found
@@ -182,6 +183,7 @@
     key: int = 0  # what it is about; 0 = none
     work_us: int = 0  # hint of its cost; 0 = none given
     repeated: bool = False  # the client marked it as a further try
+    loading: bool = False  # its body is still coming; `whole` tells of the last byte
 
 
 @dataclass(slots=True, frozen=True)
@@ -195,6 +197,7 @@
     delay_us: int  # since it was sent
     over: bool = False  # the request has its final answer
     report: Sequence[float] | None = None
+    spent: bool = False  # part of its body is gone: it can't be sent again
 
 
 @dataclass(slots=True, frozen=True)
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -137,7 +137,7 @@
         self.next_id = 0
         self.todo: deque[tuple[Callable[..., list[Action]], tuple[Any, ...], Call | None]] = deque()
         self.busy = False
-        upstream.ended, upstream.may_start = self.ended, self.may_start
+        upstream.ended, upstream.may_start, upstream.relay = self.ended, self.may_start, self.relay
         self.bans = Bans(state, self._banned)
 
     def _settle(self, raw: dict[str, Any], read: Settings) -> None:
@@ -317,15 +317,33 @@
         self.next_id += 1
         call.id = self.next_id
         self.calls[call.id] = call
-        call.timer = self.at(call.expires, self._expire, call)
-        event = Arrival(call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated)
+        loading = call.upload is not None and not call.upload.whole
+        if not loading:
+            call.timer = self.at(call.expires, self._expire, call)
+        event = Arrival(
+            call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated, loading
+        )
         self.tell(self.balancer.request, event, call=call)
 
+    def whole(self, call: Call, expires: int) -> None:
+        """The last byte of a body that was passed on as it came: time runs from now."""
+        if not call.open:
+            return
+        call.expires = expires
+        if call.relayed is None:
+            call.timer = self.at(expires, self._expire, call)
+        for attempt in call.attempts:
+            attempt.until = min(attempt.until, expires)
+        self.tell(self.balancer.whole, call.id, expires, call=call)
+
     def gone(self, call: Call) -> None:
         """The client closed its connection."""
         if call.open:
             self._over(call)
             self.tell(self.balancer.gone, call.id)
+            if call.relayed is not None and call.relayed.out:
+                self.upstream.cancel(call.relayed)
+                self.ended(call.relayed, CANCELLED, None, b"")
 
     def _expire(self, call: Call) -> None:
         """The client's deadline: what is out timed out, and the module answers."""
@@ -377,6 +395,22 @@
             attempt.timer = self.at(attempt.until, self._time_out, attempt)
         self.upstream.send(attempt)
 
+    def relay(self, attempt: Attempt, answer: Answer, length: int | None) -> bool:
+        """An answer too large to hold has begun: it is the caller's from now on,
+        and neither the attempt's time nor the caller's runs any longer."""
+        call = attempt.call
+        if not call.open or not attempt.out or attempt.link is None:
+            return False
+        call.relayed, attempt.head_us = attempt, self.now() - attempt.sent
+        for timer in (call.timer, attempt.timer):
+            if timer is not None:
+                timer.cancel()
+        call.timer = attempt.timer = None
+        event = Outcome(call.id, attempt.copy, attempt.endpoint, OK, attempt.head_us)
+        self.tell(self.balancer.head, event, call=call)
+        call.relay.begin(answer, length, attempt.link)
+        return True
+
     def _time_out(self, attempt: Attempt) -> None:
         if attempt.out:
             self.upstream.cancel(attempt)
@@ -393,15 +427,19 @@
         call = attempt.call
         if outcome == OK and answer is not None and call.open:
             self._answer(call, answer)
+        if call.relayed is attempt and call.open:
+            self._over(call)
+            call.relay.end(outcome == OK)
         over = not call.open
         event = Outcome(
             call.id,
             attempt.copy,
             attempt.endpoint,
             outcome,
-            self.now() - attempt.sent,
+            attempt.head_us or self.now() - attempt.sent,
             over,
             self.names.report(load),
+            call.upload is not None and call.upload.spent,
         )
         self.tell(self.balancer.outcome, event, call=call)
         self._drop(call)
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -4,14 +4,21 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
     from asyncio import TimerHandle
 
-    from woadyard.net.upstream import Attempt
+    from woadyard.net.upstream import Attempt, Link
 
-BODY_MAX = HEAD_MAX = 64 * 1024
+HEAD_MAX = 64 * 1024
+# Bodies up to this are held whole before they are passed on, so that an attempt
+# can be repeated; larger ones are passed on as they come.
+HOLD_MAX = 64 * 1024
+# No caller has a larger body to send: the largest are 32 MB.
+BODY_MAX = 48 * 1024 * 1024
+# Read at a time; what one connection of a stream holds is a small multiple of it.
+READ_SIZE = 32 * 1024
 # What concerns one connection alone, or is set anew on each side.
 HOP_BY_HOP = frozenset(
     (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -20,6 +27,32 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class FramingError(ValueError):
+    """Headers that leave open where the body ends."""
+
+
+def framing(headers: Headers) -> tuple[int | None, bool]:
+    """The length that the headers tell, and whether the body is chunked. The
+    parser has turned down lengths that are doubled, bad, or beside a coding."""
+    length, chunked = None, False
+    for name, value in headers:
+        lower = name.lower()
+        if lower == b"content-length":
+            length = int(value)
+        elif lower == b"transfer-encoding":
+            if chunked or value.strip().lower() != b"chunked":
+                raise FramingError("only chunked is known of Transfer-Encoding")
+            chunked = True
+    return length, chunked
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
 def pass_on(headers: Headers) -> bytes:
     """The lines of the headers that travel end to end."""
     named: set[bytes] = set()
@@ -32,13 +65,59 @@
 
 @dataclass(slots=True)
 class Answer:
-    """A final answer to a caller; `head` holds further header lines."""
+    """A final answer to a caller, or the start of one; `head` holds further header lines."""
 
     status: int
     head: bytes = b""
     body: bytes = b""
 
 
+class Relay(Protocol):
+    """A caller, while an answer too large to hold is passed on to it."""
+
+    def begin(self, answer: Answer, length: int | None, source: Link) -> None: ...
+    def part(self, data: bytes) -> None: ...
+    def end(self, whole: bool) -> None: ...
+
+
+class Upload:
+    """A body too large to hold, on its way from a caller to an endpoint. The
+    caller is read only while there is an endpoint that takes it."""
+
+    __slots__ = ("hold", "length", "parts", "sink", "spent", "whole")
+
+    def __init__(self, length: int | None, parts: list[bytes], hold: Callable[[bool], None]) -> None:
+        self.length, self.parts, self.hold = length, parts, hold  # no length: chunked
+        self.whole = False  # the last byte has come
+        self.spent = False  # some of it was passed on and is gone
+        self.sink: Link | None = None
+
+    def feed(self, data: bytes) -> None:
+        if self.sink is None:
+            self.parts.append(data)
+        else:
+            self.spent = True
+            self.sink.load_part(data)
+
+    def end(self) -> None:
+        self.whole = True
+        if self.sink is not None:
+            self.sink.load_end()
+
+    def attach(self, sink: Link) -> None:
+        self.sink = sink
+        self.hold(False)
+        parts, self.parts = self.parts, []
+        for part in parts:
+            self.feed(part)
+        if self.whole:
+            sink.load_end()
+
+    def detach(self) -> None:
+        self.sink = None
+        self.hold(True)
+
+
 @dataclass(slots=True)
 class Call:
     """One request of a caller, taken and not yet forgotten."""
@@ -49,6 +128,10 @@
     head: bytes  # header lines to pass on
     body: bytes
     answer: Callable[[Answer], None]
+    relay: Relay
+    wait_us: int  # from the last byte on
+    upload: Upload | None = None
+    relayed: Attempt | None = None  # whose answer is being passed on
     tenant: int = 0
     key: int = 0
     work_us: int = 0
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 import zlib
 from collections import deque
 from collections.abc import Callable
@@ -13,16 +14,37 @@
 import httptools
 
 from woadyard.interface import SAFE
-from woadyard.net.message import BODY_MAX, HEAD_MAX, Answer, Call, Headers, pass_on
+from woadyard.net.message import (
+    BODY_MAX,
+    HEAD_MAX,
+    HOLD_MAX,
+    LAST_CHUNK,
+    READ_SIZE,
+    Answer,
+    Call,
+    FramingError,
+    Headers,
+    Upload,
+    chunk,
+    framing,
+    pass_on,
+)
 
 if TYPE_CHECKING:
     from woadyard.net.driver import Driver
+    from woadyard.net.upstream import Link
 
 READY_PATH = b"/health/ready"
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 # How long a connection may take to bring a whole request, from its start or from
 # the request's first byte. Anyone may connect; who brings none by 3 s is owed an end.
 REQUEST_S = 2.5
+# Past that a body has to bring so much in each such time: callers send 64 kB a second.
+LOAD_S, LOAD_LEAST = 1.5, 16 * 1024
+# An answer that is passed on may stand still for this long, whoever is to blame.
+RELAY_S = 10.0
+# So long may a body take that is passed on as it comes, before its time begins to run.
+LOADING_US = 900_000_000
 # How long a connection is kept between requests: clients use theirs again well within this.
 REST_S = 5.0
 # How long a refused connection may take to read its 4xx before it is cut.
@@ -73,25 +95,38 @@
     return 0
 
 
-class Caller(asyncio.Protocol):
+def final(answer: Answer, keep: bool) -> bytes:
+    """A whole answer as it is written."""
+    close = b"" if keep else b"Connection: close\r\n"
+    return b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b%b\r\n%b" % (
+        answer.status, REASONS.get(answer.status, b""), len(answer.body), answer.head, close, answer.body,
+    )  # fmt: skip
+
+
+class Caller(asyncio.BufferedProtocol):
     """One connection of a caller; one request is served at a time."""
 
     def __init__(self, server: Server) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.call: Call | None = None
+        self.upload: Upload | None = None  # the body of `call`, while it comes
+        self.source: Link | None = None  # of an answer that is passed on
         self.waiting: deque[tuple[Call | Answer, bool]] = deque()  # sent ahead of an answer
         self.keep = True
         self.over = False  # nothing more is read
         self.parser = httptools.HttpRequestParser(self)
         self.fed = 0  # bytes since the last whole request
-        self.paused = False
+        self.held = self.paused = False  # the endpoint takes no more; nothing is read
+        self.shedding = False  # answered already: the rest of the body is dropped
         self.patience: asyncio.TimerHandle | None = None  # runs while a request is owed
+        self.moved = 0  # bytes by the last look at their progress
         self.on_message_begin()
         self.reading = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=READ_SIZE)
         self.server.joined(self)
         self._wait()
 
@@ -99,6 +134,7 @@
         self.over = True
         self.waiting.clear()
         self._wait()
+        self.source = self.upload = None
         if self.call is not None:
             self.server.driver.gone(self.call)
             self.call = None
@@ -107,15 +143,21 @@
 
     # --- Reading --------------------------------------------------------------------
 
-    def data_received(self, data: bytes) -> None:
-        if self.over:
-            return
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.server.buffer
+
+    def buffer_updated(self, size: int) -> None:
+        if not self.over:
+            self.read(bytes(self.server.buffer[:size]))
+
+    def read(self, data: bytes) -> None:
         self.server.resting.pop(self, None)
         self.fed += len(data)
         try:
             self.parser.feed_data(data)
             if not self.in_body and self.fed > HEAD_MAX:
                 raise BadRequestError(431, "the head is too large")
+            self.next()
         except httptools.HttpParserCallbackError as error:
             self.next()  # whole requests before the bad one are taken
             cause = error.__context__
@@ -125,23 +167,27 @@
             self.refuse(BadRequestError(400, "malformed"))
         except BadRequestError as error:
             self.refuse(error)
-        else:
-            self.next()
         self._wait()
 
     def _wait(self) -> None:
-        """Keep the time while the caller owes a request. Further bytes of it
+        """Keep the time while the caller owes a request. Further bytes of a head
         don't prolong that: one that drips would never end."""
-        owed = not (self.over or self.call or self.waiting or self in self.server.resting)
+        owed = not (self.over or self in self.server.resting) and bool(
+            self.upload or not (self.call or self.waiting)
+        )
         if owed and self.patience is None:
+            self.moved = 0
             self.patience = self.server.driver.loop.call_later(REQUEST_S, self._out_of_patience)
-        elif not owed and self.patience is not None:
+        elif not owed and self.patience is not None and self.source is None:
             self.patience.cancel()
             self.patience = None
 
     def _out_of_patience(self) -> None:
         self.patience = None
-        if self.reading:
+        if self.in_body and (self.paused or self.size - self.moved >= LOAD_LEAST):
+            self.moved = self.size
+            self.patience = self.server.driver.loop.call_later(LOAD_S, self._out_of_patience)
+        elif self.reading:
             self.refuse(BadRequestError(408, "the request did not come whole in time"))
         else:
             self.server.close(self)
@@ -151,6 +197,7 @@
         self.headers: Headers = []
         self.body: list[bytes] = []
         self.size = self.head_size = 0
+        self.length: int | None = None
         self.in_body, self.reading = False, True
 
     def on_url(self, url: bytes) -> None:
@@ -163,27 +210,93 @@
             raise BadRequestError(431, "the head is too large")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers.append((name, value))
+        if self.in_body:
+            return  # a trailer: it is not passed on
+        self.headers.append((name, value.strip(b" \t")))  # white space around it is no part of it
         self._grow_head(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
         self.in_body = True
+        try:
+            length, chunked = framing(self.headers)
+        except FramingError as error:
+            raise BadRequestError(501, str(error)) from None
+        if (length or 0) > BODY_MAX:
+            raise BadRequestError(413, "the body is too large")
+        self.length = None if chunked else length or 0
+        expects = any(n.lower() == b"expect" and v.lower() == b"100-continue" for n, v in self.headers)
+        # Not into an answer that is still on its way: who expects a word waits a moment only.
+        if expects and self.call is None and not self.waiting and self.transport is not None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    @property
+    def large(self) -> bool:
+        """Whether the body that is coming is too large to be held whole."""
+        return self.in_body and max(self.size, self.length or 0) > HOLD_MAX
 
     def on_body(self, data: bytes) -> None:
+        if self.over:
+            return
         self.size += len(data)
-        self.body.append(data)
         if self.size > BODY_MAX:
             raise BadRequestError(413, "the body is too large")
+        if self.upload is not None:
+            self.upload.feed(data)
+        elif not self.shedding:
+            self.body.append(data)
 
     def on_message_complete(self) -> None:
         if self.over:
             return
+        if self.shedding:
+            self.server.close(self)
+            return
+        if self.upload is not None:
+            upload, self.upload = self.upload, None
+            self.in_body, self.reading, self.fed = False, False, 0
+            self.keep = self.parser.should_keep_alive()
+            upload.end()
+            if self.call is not None:
+                driver = self.server.driver
+                driver.whole(self.call, min(driver.now() + self.call.wait_us, self.server.answered_by))
+            return
         asked = self._asked()
         # A health check comes on a connection of its own; kept, they add up.
         keep = isinstance(asked, Call) and self.parser.should_keep_alive()
         self.waiting.append((asked, keep))
         self.in_body, self.reading, self.fed = False, False, 0
 
+    def _load(self) -> None:
+        """A body too large to hold: it is passed on as it comes."""
+        asked = self._asked()
+        if isinstance(asked, Answer):
+            raise BadRequestError(413, "no body is wanted here")
+        parts, self.body = self.body, []
+        self.upload = asked.upload = Upload(self.length, parts, self.hold)
+        asked.body = b""
+        asked.expires += LOADING_US
+        self.keep, self.call = True, asked
+        self.hold(True)  # until an endpoint takes it
+        self.server.driver.take(asked)
+
+    def hold(self, on: bool) -> None:
+        self.held = on
+        self._pace()
+
+    def _pace(self) -> None:
+        """Read, unless that would only fill the memory."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        # Guards against a caller that never waits for its answers, too.
+        ahead = bool(self.waiting) or (self.call is not None and self.upload is None and self.large)
+        pause = not self.over and (ahead or (self.held and self.upload is not None))
+        if pause != self.paused:
+            self.paused = pause
+            if pause:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
+
     def _asked(self) -> Call | Answer:
         path, _, query = self.target.partition(b"?")
         if path == READY_PATH:
@@ -215,6 +328,8 @@
             head=pass_on(self.headers),
             body=b"".join(self.body),
             answer=self.answer,
+            relay=self,
+            wait_us=wait_us,
             tenant=driver.names.tenants.get(tenant, 0),
             key=key_of(query),
             work_us=hint(headers.get(b"x-cost-hint", b"")),
@@ -230,54 +345,152 @@
             else:
                 self.call = asked
                 self.server.driver.take(asked)
-        if self.transport is not None and not self.over:
-            # Guards memory against a caller that never waits for its answers.
-            if self.waiting and not self.paused:
-                self.transport.pause_reading()
-            elif self.paused and not self.waiting:
-                self.transport.resume_reading()
-            self.paused = bool(self.waiting)
+        if self.large and self.call is None and not (self.over or self.shedding or self.upload):
+            self._load()
+        self._pace()
+
+    def _next_soon(self) -> None:
+        try:
+            self.next()
+        except BadRequestError as error:  # the head of a large body
+            self.refuse(error)
+        self._wait()
 
     # --- Writing --------------------------------------------------------------------
 
     def answer(self, answer: Answer) -> None:
         self.call = None
+        if self.upload is not None:
+            self._shed(answer)
+            return
         self._write(answer)
-        if self.waiting:
-            self.server.driver.loop.call_soon(self.next)
+        self._served()
+
+    def _shed(self, answer: Answer) -> None:
+        """An answer while the body is still coming. That is read and dropped, by its
+        progress: a caller may look for the answer only once all is written, and
+        would find the connection reset under it."""
+        self.upload, self.shedding, self.keep = None, True, False
+        self._pace()
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(final(answer, False))
+        self._wait()
+
+    def _served(self) -> None:
+        if self.waiting or self.large:
+            self.server.driver.loop.call_soon(self._next_soon)
+
+    def begin(self, answer: Answer, length: int | None, source: Link) -> None:
+        """The first of an answer that is passed on as it comes."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.source = source
+        self.chunked = length is None and self.parser.get_http_version() != "1.0"
+        self.keep &= length is not None or self.chunked
+        framed = b"Transfer-Encoding: chunked\r\n" if self.chunked else b""
+        if length is not None:
+            framed = b"Content-Length: %d\r\n" % length
+        close = b"" if self._kept() else b"Connection: close\r\n"
+        self.transport.write(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (framed, answer.head, close))
+        self.relayed = 0
+        if answer.body:
+            self.part(answer.body)
+        if self.patience is not None:
+            self.patience.cancel()
+        self.moved = -1
+        self._relay_moves()
+
+    def part(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.relayed += len(data)
+            self.transport.write(chunk(data) if self.chunked else data)
+
+    def end(self, whole: bool) -> None:
+        """The answer is whole, or it broke off, which the caller is to see."""
+        self.call = self.source = None
+        if self.patience is not None:
+            self.patience.cancel()
+            self.patience = None
+        if self.transport is None or self.transport.is_closing():
+            return
+        if not whole:
+            self.over = True
+            self.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            self.transport.abort()
+            return
+        if self.chunked:
+            self.transport.write(LAST_CHUNK)
+        self._after(self._kept() and self.upload is None)
+        self._served()
+
+    def pause_writing(self) -> None:
+        if self.source is not None:
+            self.source.pace(True)
+
+    def resume_writing(self) -> None:
+        if self.source is not None:
+            self.source.pace(False)
+
+    def _relay_moves(self) -> None:
+        """Look now and then whether the answer still gets on."""
+        transport, source = self.transport, self.source
+        if transport is None or source is None:
+            return
+        gone = self.relayed - transport.get_write_buffer_size()
+        if gone != self.moved:
+            self.moved = gone
+            self.patience = self.server.driver.loop.call_later(RELAY_S, self._relay_moves)
+        elif transport.get_write_buffer_size():
+            transport.abort()  # the caller takes nothing
+        else:
+            source.close()
+
+    def _kept(self) -> bool:
+        return self.keep and not self.server.closing
 
     def _write(self, answer: Answer) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        keep = self.keep and not self.server.closing
-        reason = REASONS.get(answer.status, b"")
-        close = b"" if keep else b"Connection: close\r\n"
-        self.transport.write(
-            b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b%b\r\n%b"
-            % (answer.status, reason, len(answer.body), answer.head, close, answer.body)
-        )
+        keep = self._kept()
+        self.transport.write(final(answer, keep))
+        self._after(keep)
+
+    def _after(self, keep: bool) -> None:
+        """An answer was written."""
         if not keep:
             self.over = True
+            assert self.transport is not None
             self.transport.close()
         elif self.idle():
             self.server.rest(self)
         self._wait()
 
     def refuse(self, error: BadRequestError) -> None:
-        """A plain 4xx, then the end. What is still coming is read and dropped for
-        a moment: closing on unread bytes would reset the answer away."""
-        self.over = True
+        """A plain 4xx, then the end."""
+        if self.upload is not None and self.call is not None:
+            call, self.call, self.upload = self.call, None, None
+            self.server.driver.gone(call)
+            if self.source is not None:  # its answer has begun: it can only break off
+                self.end(False)
+                return
         if self.call is not None or self.transport is None:
             # The request before it is still served; its answer ends the connection.
             self.over, self.keep = False, False
             self.waiting.clear()
             return
-        text = f"{error}\n".encode()
-        self.keep = False
-        self.transport.write(
-            b"HTTP/1.1 %d %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b"
-            % (error.status, REASONS[error.status], len(text), text)
-        )
+        self._write_last(Answer(error.status, b"Content-Type: text/plain\r\n", f"{error}\n".encode()))
+
+    def _write_last(self, answer: Answer) -> None:
+        """An answer, and the end. What is still coming is read and dropped for a
+        moment: closing on unread bytes would reset the answer away."""
+        self.over, self.keep = True, False
+        self._wait()
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._pace()
+        self.transport.write(final(answer, False))
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.server.driver.loop.call_later(LINGER_S, self.transport.abort)
@@ -291,6 +504,7 @@
 
     def __init__(self, driver: Driver, most: int = 512) -> None:
         self.driver, self.most = driver, most  # sockets of both sides
+        self.buffer = memoryview(bytearray(READ_SIZE))  # one read at a time, whoever reads
         self.callers: set[Caller] = set()
         self.resting: dict[Caller, float] = {}  # between requests since, the longest first
         self.sweeping: asyncio.TimerHandle | None = None
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -14,7 +14,19 @@
 import httptools
 
 from woadyard.interface import ERROR, FULL, MOOT, NO_CONNECT, OK, RESET
-from woadyard.net.message import BODY_MAX, HEAD_MAX, Answer, Call, Headers, pass_on
+from woadyard.net.message import (
+    HEAD_MAX,
+    HOLD_MAX,
+    LAST_CHUNK,
+    READ_SIZE,
+    Answer,
+    Call,
+    Headers,
+    Upload,
+    chunk,
+    framing,
+    pass_on,
+)
 
 # Part of an endpoint's idle time for which a connection is kept: the rest guards
 # against a request that crosses the endpoint's own close.
@@ -26,7 +38,7 @@
 
 
 class Attempt:
-    __slots__ = ("call", "copy", "endpoint", "link", "out", "sent", "timer", "until")
+    __slots__ = ("call", "copy", "endpoint", "head_us", "link", "out", "sent", "timer", "until")
 
     def __init__(self, call: Call, copy: int, endpoint: int, now: int, until: int) -> None:
         self.call = call
@@ -35,6 +47,7 @@
         self.sent = now
         self.until = until  # when the sidecar stops waiting
         self.out = True  # no outcome yet
+        self.head_us = 0  # until its answer began to be passed on
         self.link: Link | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -59,7 +72,7 @@
         self.free()
 
 
-class Link(asyncio.Protocol):
+class Link(asyncio.BufferedProtocol):
     """One connection, carrying one attempt at a time."""
 
     def __init__(self, owner: Upstream, pool: Pool, attempt: Attempt) -> None:
@@ -69,6 +82,7 @@
         self.opening: asyncio.Task[None] | None = None
         self.idle_since = 0.0
         self.unwritten = True  # the request's last byte is not yet with the system
+        self.upload: Upload | None = None  # a body on its way out
         self.parser = httptools.HttpResponseParser(self)
         self._begin()
 
@@ -77,6 +91,10 @@
         self.body: list[bytes] = []
         self.size = self.fed = 0
         self.load = b""
+        self.status = 0  # of an answer whose head has come
+        self.length: int | None = None
+        self.chunked = False
+        self.relaying = False  # the answer is passed on as it comes
         self.not_run = self.whole = self.keep = False
 
     # --- Connection -----------------------------------------------------------
@@ -102,9 +120,13 @@
 
     def pause_writing(self) -> None:
         self.unwritten = True
+        if self.upload is not None:
+            self.upload.hold(True)
 
     def resume_writing(self) -> None:
-        self.unwritten = False
+        self.unwritten = self.upload is not None
+        if self.upload is not None:
+            self.upload.hold(False)
 
     def write(self) -> None:
         attempt, transport = self.attempt, self.transport
@@ -117,11 +139,31 @@
             self.rest()
             self.owner.ended(attempt, MOOT, None, b"")
             return
-        self.unwritten = False
+        self.upload = attempt.call.upload
+        self.unwritten = self.upload is not None
         transport.write(request_bytes(attempt, now))
+        if self.upload is not None:
+            self.upload.attach(self)
         if transport.is_closing():
             self.unwritten = True  # the first write failed: nothing left
 
+    def load_part(self, data: bytes) -> None:
+        assert self.transport is not None and self.upload is not None
+        self.transport.write(data if self.upload.length is not None else chunk(data))
+
+    def load_end(self) -> None:
+        assert self.transport is not None and self.upload is not None
+        chunked, self.upload = self.upload.length is None, None
+        if chunked:
+            self.transport.write(LAST_CHUNK)
+        self.unwritten = self.transport.get_write_buffer_size() > 0
+
+    def unload(self) -> None:
+        """The attempt is over before its body was."""
+        if self.upload is not None:
+            self.upload.detach()
+            self.upload = None
+
     def rest(self) -> None:
         """The connection carries nothing now: keep it for the next attempt."""
         if self.pool.closed or self.transport is None or self.transport.is_closing():
@@ -142,17 +184,31 @@
         if self in self.pool.idle:
             self.pool.idle.remove(self)
         self.owner.gone(self)
-        self._end(NO_CONNECT if self.unwritten else RESET)
+        # Where an answer has begun, the request was read whatever is still unwritten.
+        self._end(NO_CONNECT if self.unwritten and not self.relaying else RESET)
         del self.parser  # it holds the link in turn
 
     def _end(self, outcome: int, answer: Answer | None = None) -> None:
+        self.unload()
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             self.owner.ended(attempt, outcome, answer, self.load)
 
     # --- Answers ------------------------------------------------------------------
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.owner.buffer
+
+    def buffer_updated(self, size: int) -> None:
+        self.read(bytes(self.owner.buffer[:size]))
+
+    def eof_received(self) -> None:
+        """A clean end ends a body that has no other."""
+        if self.attempt is not None and self.status and self.length is None and not self.chunked:
+            self.whole = True
+            self._finish()
+
+    def read(self, data: bytes) -> None:
         if self.attempt is None:  # nobody asked: whatever it is, it ends the connection
             self.close()
             return
@@ -163,47 +219,88 @@
             # Bytes after a whole answer take nothing from it, but nobody asked
             # for them: what follows on this connection can't be told apart.
             self.keep = False
-            self.fed = HEAD_MAX + 2 * BODY_MAX + 1
+            if not self.whole:
+                self._fail()
+                return
         if self.whole:
             self._finish()
-        elif self.size > BODY_MAX or self.fed > HEAD_MAX + 2 * BODY_MAX:
-            self.close()  # no answer of this protocol: it ends as a reset
-            self._end(RESET)
+        elif self.status == 0 and self.fed > HEAD_MAX:
+            self._fail()
+        elif self.size > HOLD_MAX and not self.relaying:
+            self._finish()  # no answer to pass on: the rest of it tells nothing
+
+    def _fail(self) -> None:
+        """No answer of this protocol: it ends as a reset."""
+        self.close()
+        self._end(RESET)
 
     def on_message_begin(self) -> None:
         if self.whole:
             raise ValueError("a second answer to one request")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        lower = name.lower()
+        if self.status:
+            return  # a trailer: it is not passed on
+        lower, value = name.lower(), value.strip(b" \t")
         if lower == b"x-load":
             self.load = value
         elif lower == b"x-not-run":
-            self.not_run = value.strip() == b"1"
+            self.not_run = value == b"1"
         self.headers.append((name, value))
 
+    def on_headers_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if status >= 200:
+            self.length, self.chunked = framing(self.headers)
+            self.status = status
+            if (self.length or 0) > HOLD_MAX:
+                self._relay()
+
     def on_body(self, data: bytes) -> None:
         self.size += len(data)
-        self.body.append(data)
+        if self.relaying:
+            assert self.attempt is not None
+            self.attempt.call.relay.part(data)
+        else:
+            self.body.append(data)
+            if self.size > HOLD_MAX:
+                self._relay()
+
+    def _relay(self) -> None:
+        """Too large to be held whole: from here on it is passed on as it comes."""
+        if self.status == 200 and self.attempt is not None:
+            answer = Answer(200, pass_on(self.headers), b"".join(self.body))
+            self.body.clear()
+            self.relaying = self.owner.relay(self.attempt, answer, self.length)
+
+    def pace(self, paused: bool) -> None:
+        """Read no faster than the caller does."""
+        if self.transport is not None and not self.transport.is_closing():
+            if paused:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
 
     def on_message_complete(self) -> None:
-        if self.parser.get_status_code() < 200:  # an interim answer; the real one follows
+        if not self.status:  # an interim answer; the real one follows
             self.headers.clear()
         else:
             self.whole, self.keep = True, self.parser.should_keep_alive()
 
     def _finish(self) -> None:
-        status = self.parser.get_status_code()
         outcome, answer = ERROR, None
-        if status == 200:
+        if self.relaying:
             outcome = OK
-            answer = Answer(200, pass_on(self.headers), b"".join(self.body))
-        elif status in (503, 504) and self.not_run:
+        elif self.status == 200:
+            outcome = OK if self.whole else RESET
+            answer = Answer(200, pass_on(self.headers), b"".join(self.body)) if self.whole else None
+        elif self.status in (503, 504) and self.not_run:
             outcome = FULL
         attempt, load = self.attempt, self.load
         self.attempt = None
+        self.unload()
         # A request not yet read whole leaves the connection unfit for the next.
-        if self.keep and not self.unwritten:
+        if self.keep and self.whole and not self.unwritten:
             self.rest()
         else:
             self.close()
@@ -212,12 +309,17 @@
 
 
 def request_bytes(attempt: Attempt, now: int) -> bytes:
-    call = attempt.call
+    """The head, with the body where that is held whole."""
+    call, upload = attempt.call, attempt.call.upload
     # Rounded down: the endpoint must not work on past the sidecar's patience.
-    wait_ms = max(1, (attempt.until - now) // 1000)
-    plain = call.start.startswith(b"GET ") and not call.body
-    length = b"" if plain else b"Content-Length: %d\r\n" % len(call.body)
-    wait = b"X-Deadline-Ms: %d\r\n" % wait_ms
+    wait_us = attempt.until - now if upload is None or upload.whole else call.wait_us
+    wait = b"X-Deadline-Ms: %d\r\n" % max(1, wait_us // 1000)
+    if upload is not None and upload.length is None:
+        length = b"Transfer-Encoding: chunked\r\n"
+    elif call.start.startswith(b"GET ") and not call.body and upload is None:
+        length = b""
+    else:
+        length = b"Content-Length: %d\r\n" % (len(call.body) if upload is None else upload.length or 0)
     return b"%b HTTP/1.1\r\n%b%b%b\r\n%b" % (call.start, call.head, wait, length, call.body)
 
 
@@ -238,7 +340,9 @@
         self.pools: dict[int, Pool] = {}
         self.links: set[Link] = set()
         self.sweeping: asyncio.TimerHandle | None = None
+        self.buffer = memoryview(bytearray(READ_SIZE))  # one read at a time, whoever reads
         self.ended: Ended = lambda *_: None
+        self.relay: Callable[[Attempt, Answer, int | None], bool] = lambda *_: False
         self.may_start: Callable[[Attempt, int], bool] = lambda *_: True
 
     def retune(self, idle_us: int, connect_us: int) -> None:
@@ -297,6 +401,7 @@
         link, attempt.link = attempt.link, None
         if link is not None and link.attempt is attempt:
             link.attempt = None
+            link.unload()
             link.close()
 
     def gone(self, link: Link) -> None:
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -166,7 +166,7 @@
 
     __slots__ = (
         "boot", "budget", "budget_at", "cell", "crowded", "entry", "health", "id", "inflight", "key",
-        "kinds", "links", "own", "quiet_since", "rating", "ready", "samples", "slowness",
+        "kinds", "links", "moving", "own", "quiet_since", "rating", "ready", "samples", "slowness",
         "slowness_at", "told_at", "waiting", "zone",
     )  # fmt: skip
 
@@ -180,6 +180,7 @@
         self.rating = entry.rating
         self.ready = False
         self.inflight = 0
+        self.moving = 0  # of those, bodies and answers on their way: no answer is owed yet
         self.links: list[int] = []  # idle connections: since when, the last used last
         self.crowded = 0  # it was full: nothing is sent before this
         self.budget = 0.0
@@ -233,13 +234,14 @@
 
 
 class Attempt:
-    __slots__ = ("cell", "endpoint", "never_ran", "out", "rested", "sent", "wary", "zone")
+    __slots__ = ("cell", "endpoint", "moving", "never_ran", "out", "rested", "sent", "wary", "zone")
 
     def __init__(self, endpoint: Endpoint, now: int) -> None:
         self.endpoint = endpoint
         self.cell = endpoint.cell
         self.zone = endpoint.zone
         self.sent = now
+        self.moving = False
         self.rested = -1  # how long its connection was idle; a new one was not
         self.out = True
         self.never_ran = False
@@ -248,7 +250,8 @@
 
 class Request:
     __slots__ = (
-        "arrived", "attempts", "cls", "expires", "id", "key", "kind", "most", "sort", "streaming", "tenant",
+        "arrived", "attempts", "cls", "expires", "id", "key", "kind", "loading", "most", "sort", "spent",
+        "streaming", "tenant",
     )  # fmt: skip
 
     def __init__(self, now: int, event: Arrival, settings: Settings) -> None:
@@ -262,7 +265,8 @@
         self.key = event.key if self.cls.sequential else 0
         self.expires = event.expires
         self.attempts: list[Attempt] = []
-        self.streaming = False
+        self.loading, self.spent = event.loading, False  # the body: not whole, and gone in part
+        self.streaming = 0  # when its answer began to be passed on
 
     def settle(self, tenants: int) -> None:
         self.sort = self.kind * tenants + min(self.tenant, tenants - 1)
@@ -721,7 +725,7 @@
         weight = endpoint.rating * self._warmth(now, endpoint) / endpoint.slowness
         if endpoint.health[kind][0] < 1.0:
             weight *= self._health(now, endpoint, kind)
-        if endpoint.inflight and self._stalled(now, endpoint):
+        if self._stalled(now, endpoint):
             weight *= STALL_WEIGHT
         if endpoint.waiting > 0.0:
             weight /= 1.0 + endpoint.waiting * exp((endpoint.told_at - now) / self.longest_aim)
@@ -731,7 +735,7 @@
 
     def _stalled(self, now: int, endpoint: Endpoint) -> bool:
         """Guards against frozen and hung endpoints: calls out, no answers."""
-        return self._overdue(now - endpoint.quiet_since)
+        return endpoint.inflight > endpoint.moving and self._overdue(now - endpoint.quiet_since)
 
     def _overdue(self, waited: int, deviations: float = STALL_DEVIATIONS) -> bool:
         """Whether this is too long for the work and the queues now usual."""
@@ -831,6 +835,8 @@
         """Whether a further attempt is allowed at all, wherever it goes."""
         if len(request.attempts) >= min(request.most, self.s.max_attempts) or request.streaming:
             return False
+        if request.spent:
+            return False
         if now >= request.expires:
             return False
         if not self.s.second_copies and request.outstanding():
@@ -859,12 +865,31 @@
         if not endpoint.inflight:
             endpoint.quiet_since = now
         endpoint.inflight += 1
+        self._move(now, attempt, request.loading)
         if request.key:
             self.turns[request.key].out += 1
         self.sends.add(now)
         self.out.append(Send(request.id, endpoint.id, request.expires - now))
         return True
 
+    def _move(self, now: int, attempt: Attempt, on: bool) -> None:
+        """Bytes of the attempt are on their way, or no longer: an endpoint owes no
+        answer to a body that is still coming, nor a second one to the caller."""
+        if attempt.moving != on:
+            attempt.moving = on
+            attempt.endpoint.moving += 1 if on else -1
+            attempt.endpoint.quiet_since = now
+
+    def whole(self, now: int, rid: int, expires: int) -> list[Action]:
+        """The last byte of the request has come: its time runs from here."""
+        request = self.requests.get(rid)
+        if request is not None and request.loading:
+            request.loading, request.arrived, request.expires = False, now, expires
+            for attempt in request.attempts:
+                if attempt.out and not request.streaming:
+                    self._move(now, attempt, False)
+        return self._taken(now)
+
     # --- Connections ------------------------------------------------------------------
 
     def _connect(self, now: int, attempt: Attempt) -> None:
@@ -1000,7 +1025,9 @@
         if endpoint is not None and outcome == OK:
             self._praise(now, endpoint, request, event.delay_us)
         attempt = request.attempts[event.copy]
+        self._move(now, attempt, False)
         attempt.out = False
+        request.spent |= event.spent
         attempt.never_ran = outcome in self.proofs
         if outcome in (OK, ERROR, FULL):
             attempt.endpoint.links.append(now)
@@ -1048,8 +1075,9 @@
         look frozen, it is one queue before all."""
         held, frozen, bear = len(self.requests), 0, 0.0
         for _, one in self.ring:
-            if one.inflight and self._stalled(now, one):
-                held -= one.inflight
+            held -= one.moving
+            if self._stalled(now, one):
+                held -= one.inflight - one.moving
                 frozen += 1
             else:
                 bear += self._warmth(now, one) * self._health(now, one, 0)
@@ -1062,14 +1090,15 @@
         """Tell admission how a request ended. Errors and resets are left out:
         they tell of broken endpoints, which fewer requests would not mend."""
         if outcome not in (ERROR, RESET):
-            took = now - request.arrived
+            took = (request.streaming or now) - request.arrived
             good = outcome == OK and took <= self.good_part * request.cls.aim_us
             self.admission.note(now, took, good, outcome == OK)
 
     def head(self, now: int, event: Outcome) -> list[Action]:
         request = self.requests.get(event.request)
         if request is not None:
-            request.streaming = True
+            request.streaming = now
+            self._move(now, request.attempts[event.copy], True)
         return self._taken(now)
 
     def gone(self, now: int, rid: int) -> list[Action]:
