Give way in crowds, keep sockets for endpoints, share them between two processes

Callers fill three quarters of the sockets at most. Past that the one longest at rest gives way, else the first to come of those who owe a request for 2 s, else the new one. Two processes know of each other by a lock that each holds while it lives, and have half of the sockets each meanwhile.

Not taken: to stop accepting: good callers would wait behind the crowd in the system's queue. Process ids in the state file: those of the dead stay there.

--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from woadyard.net.state import Bans, endpoint_number
+from woadyard.net.state import Bans, Seats, endpoint_number
 
 
 class Told(list[tuple[int, bool]]):
@@ -62,3 +62,19 @@
         bans = Bans(path, Told())
         bans.note(["s-1"])
         assert bans.detach("s-1") and bans.out and bans.attach("s-1") and not bans.out
+
+
+def test_two_processes_know_of_each_other_while_both_live(tmp_path: Path) -> None:
+    told: list[bool] = []
+    first, second = Seats(tmp_path / "s.json", told.append), Seats(tmp_path / "s.json", lambda alone: None)
+    first.look()
+    assert not told
+    second.look()
+    first.look()
+    assert told == [False] and not second.alone
+    assert second.held is not None
+    second.held.close()  # it ended, whichever way
+    first.look()
+    assert told == [False, True]
+    Seats(tmp_path / "missing" / "s.json", told.append).look()
+    assert len(told) == 2, "no folder: each is on its own"
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -19,7 +19,7 @@
 from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver
 from woadyard.net.server import Server
-from woadyard.net.state import LOOK_S, Bans
+from woadyard.net.state import LOOK_S, Bans, Seats
 from woadyard.net.upstream import Upstream
 
 LIST_PATH = "/registry/instances"
@@ -70,10 +70,17 @@
     }
 
 
-def open_console(config: Config, routes: Routes, bans: Bans) -> Console | None:
+def open_console(config: Config, server: Server, bans: Bans) -> Console | None:
     if config.console is None:
         return None
-    console = Console(routes, bans.look, LOOK_S)
+    looks = [bans.look]
+    if config.state is not None:
+
+        def seated(alone: bool) -> None:
+            server.driver.loop.call_soon_threadsafe(server.share, 1.0 if alone else 0.5)
+
+        looks.append(Seats(config.state, seated).look)
+    console = Console(routes(server, bans), looks, LOOK_S)
     try:
         console.open(*config.console)
     except (OSError, OverflowError) as error:
@@ -111,7 +118,7 @@
             await server.adopt(config.accept)
     except (OSError, OverflowError, ValueError) as error:
         raise ConfigError(f"can't listen: {error}") from None
-    console = open_console(config, routes(server, driver.bans), driver.bans)
+    console = open_console(config, server, driver.bans)
     ended = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, server.stop, ended.set)
     loop.add_signal_handler(signal.SIGINT, server.stop, ended.set)
--- a/woadyard/net/console.py
+++ b/woadyard/net/console.py
@@ -10,7 +10,7 @@
 import asyncio
 import socket
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import cast
@@ -154,10 +154,12 @@
 
 
 class Console:
-    """The listener, and the thread that serves it; `look` runs there every so often."""
+    """The listener, and the thread that serves it; the looks are taken there every so often."""
 
-    def __init__(self, routes: Routes, look: Callable[[], None] = lambda: None, every_s: float = 1.0) -> None:
-        self.routes, self.look, self.every_s = routes, look, every_s
+    def __init__(
+        self, routes: Routes, looks: Sequence[Callable[[], None]] = (), every_s: float = 1.0
+    ) -> None:
+        self.routes, self.looks, self.every_s = routes, looks, every_s
         self.visitors: dict[Visitor, None] = {}  # the longest here first
         self.loop = uvloop.new_event_loop()
         self.thread = threading.Thread(target=self._run, name="console", daemon=True)
@@ -183,7 +185,8 @@
         self.loop.run_forever()
 
     def _look(self) -> None:
-        self.look()
+        for look in self.looks:
+            look()
         self.loop.call_later(self.every_s, self._look)
 
     def joined(self, visitor: Visitor) -> None:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -47,6 +47,10 @@
 LOADING_US = 900_000_000
 # How long a connection is kept between requests: clients use theirs again well within this.
 REST_S = 5.0
+# Under pressure who owes a request for this long gives way: no sooner may it be closed.
+CROWD_S = 2.0
+# Callers fill this part of the sockets at most: the others are for endpoints.
+CALLERS_PART = 0.75
 # How long a refused connection may take to read its 4xx before it is cut.
 LINGER_S = 1.0
 # New connections come for this long after SIGTERM, and a last one gets this
@@ -120,6 +124,7 @@
         self.held = self.paused = False  # the endpoint takes no more; nothing is read
         self.shedding = False  # answered already: the rest of the body is dropped
         self.patience: asyncio.TimerHandle | None = None  # runs while a request is owed
+        self.owed_since = 0.0  # by the loop's clock, where `patience` runs for a request
         self.moved = 0  # bytes by the last look at their progress
         self.on_message_begin()
         self.reading = False
@@ -176,7 +181,7 @@
             self.upload or not (self.call or self.waiting)
         )
         if owed and self.patience is None:
-            self.moved = 0
+            self.moved, self.owed_since = 0, self.server.driver.loop.time()
             self.patience = self.server.driver.loop.call_later(REQUEST_S, self._out_of_patience)
         elif not owed and self.patience is not None and self.source is None:
             self.patience.cancel()
@@ -503,9 +508,10 @@
     """The listener and its connections."""
 
     def __init__(self, driver: Driver, most: int = 512) -> None:
-        self.driver, self.most = driver, most  # sockets of both sides
+        self.driver = driver
+        self.most = self.whole = most  # sockets of both sides
         self.buffer = memoryview(bytearray(READ_SIZE))  # one read at a time, whoever reads
-        self.callers: set[Caller] = set()
+        self.callers: dict[Caller, None] = {}  # the first to come first
         self.resting: dict[Caller, float] = {}  # between requests since, the longest first
         self.sweeping: asyncio.TimerHandle | None = None
         self.ids: dict[bytes, float] = {}  # of requests taken, the oldest first
@@ -551,15 +557,29 @@
         )
 
     def joined(self, caller: Caller) -> None:
-        # Guards the limit on sockets. One that has brought no request yet is never
-        # closed: its first may be on its way, and a client sends it anew only once.
-        if len(self.callers) + len(self.driver.upstream.links) >= self.most:
-            self.give_way()
-        self.callers.add(caller)
+        """Guards the limit on sockets, and the endpoints' part of them, against
+        crowds. A new connection is turned away only where nobody can give way."""
+        self.callers[caller] = None
         self.last_joined = self.driver.loop.time()
+        if self._crowded():
+            self.give_way()
+        if self._crowded() and caller.transport is not None:
+            caller.over = True
+            del self.callers[caller]
+            caller.transport.abort()
+
+    def _crowded(self) -> bool:
+        both = len(self.callers) + len(self.driver.upstream.links)
+        return both > self.most or len(self.callers) > max(1, CALLERS_PART * self.most)
+
+    def share(self, part: float) -> None:
+        """With a second process of this sidecar each has half of the sockets."""
+        self.most = self.driver.upstream.most = max(16, int(self.whole * part))
+        while self._crowded() and self.give_way():
+            pass
 
     def left(self, caller: Caller) -> None:
-        self.callers.discard(caller)
+        self.callers.pop(caller, None)
         self.resting.pop(caller, None)
         if self.stopping and self.listener is None and not self.callers:
             self.on_end()
@@ -569,12 +589,19 @@
         if self.sweeping is None:
             self.sweeping = self.driver.loop.call_later(REST_S, self._sweep)
 
-    def give_way(self) -> None:
-        """One socket less: the caller longest at rest."""
-        if self.resting:
-            caller = next(iter(self.resting))
-            self.close(caller)
-            self.callers.discard(caller)
+    def give_way(self) -> bool:
+        """One socket less: the caller longest at rest, or else the first to come of
+        those who owe a request for long. Whoever is served is left alone."""
+        caller = next(iter(self.resting), None)
+        if caller is None:
+            limit = self.driver.loop.time() - CROWD_S
+            owing = (one for one in self.callers if one.patience is not None and one.call is None)
+            caller = next((one for one in owing if one.owed_since <= limit), None)
+        if caller is None:
+            return False
+        self.close(caller)
+        self.callers.pop(caller, None)
+        return True
 
     def _sweep(self) -> None:
         """Drop who rested too long; one timer serves all connections."""
--- a/woadyard/net/state.py
+++ b/woadyard/net/state.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterable
 from hashlib import blake2b
 from pathlib import Path
+from typing import IO
 
 # Names that are remembered, the latest: guards memory where endpoints come and go.
 LISTED_MOST = 50_000
@@ -146,3 +147,46 @@
         aside.write_text(json.dumps({"banned": list(self.banned), "listed": list(self.listed)}))
         os.replace(aside, self.path)
         self.seen, self.unsaved = self._signature(), False
+
+
+class Seats:
+    """Tells whether a second process of this sidecar runs. Each holds a lock for
+    as long as it lives, which the system takes back however it ends."""
+
+    def __init__(self, path: Path, changed: Callable[[bool], None]) -> None:
+        self.paths = [path.with_suffix(f".seat{n}") for n in (0, 1)]
+        self.changed = changed
+        self.alone = True
+        self.held: IO[str] | None = None
+        self.other: Path | None = None
+
+    def look(self) -> None:
+        try:
+            if self.held is None:
+                self._sit()
+            alone = self.other is None or not self._taken(self.other)
+        except OSError:
+            return  # no folder to meet in
+        if alone != self.alone:
+            self.alone = alone
+            self.changed(alone)
+
+    def _sit(self) -> None:
+        for path, other in (self.paths, self.paths[::-1]):
+            seat = open(path, "w")  # noqa: SIM115 - held until the process ends
+            try:
+                fcntl.flock(seat, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except BlockingIOError:
+                seat.close()
+                continue
+            self.held, self.other = seat, other
+            return
+
+    @staticmethod
+    def _taken(path: Path) -> bool:
+        with open(path, "w") as seat:
+            try:
+                fcntl.flock(seat, fcntl.LOCK_SH | fcntl.LOCK_NB)
+            except BlockingIOError:
+                return True
+        return False
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -336,7 +336,7 @@
         self.retune(0, 0)
         self.most = most  # sockets of both sides
         self.others: Callable[[], int] = lambda: 0  # those of the callers
-        self.give_way: Callable[[], None] = lambda: None  # asks them for one
+        self.give_way: Callable[[], bool] = lambda: False  # asks them for one
         self.pools: dict[int, Pool] = {}
         self.links: set[Link] = set()
         self.sweeping: asyncio.TimerHandle | None = None
