Hear a list before saying yes in a takeover, and give up on stuck bodies

It now asks within 0.2 s, and says yes once it has heard a list, or after 3 s. Whether another process runs, its lock tells. - a body whose endpoint takes no more of it was waited for without end: `_out_of_patience` in net/server.py took back-pressure for progress. After two looks without a byte the attempt ends as never sent whole. - a body that stops coming after its early answer got a second one, a 408.

The tests for these were seen to fail without the change.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -18,7 +18,7 @@
     run,
     sidecar,
 )
-from woadyard.interface import Action, Outcome
+from woadyard.interface import NO_CONNECT, Action, Outcome
 from woadyard.net.message import HOLD_MAX, READ_SIZE
 
 LARGE = bytes(range(256)) * 4096  # 1 MiB
@@ -167,10 +167,10 @@
 def test_an_answer_while_the_body_still_comes_does_not_cut_it_off() -> None:
     async def main() -> None:
         async with sidecar(Endpoint(), known=False) as one:
+            one.driver.balancer.banned[7] = None  # all endpoints are out: refused at once
             reader, writer = await one.connect()
-            raw = request("pay", LARGE, deadline_ms=1)
+            raw = request("pay", LARGE)
             writer.write(raw[:70_000])
-            vars(one.driver.balancer)["banned"][7] = None  # all endpoints are out: refused at once
             back = await read_message(reader)
             assert back.start.split()[1] == "503" and back.headers["connection"] == "close"
             writer.write(raw[70_000:])
@@ -205,6 +205,41 @@
     run(main())
 
 
+def test_an_endpoint_that_takes_no_more_of_a_body_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("woadyard.net.server.REQUEST_S", 0.05)
+    monkeypatch.setattr("woadyard.net.server.LOAD_S", 0.05)
+
+    async def main() -> None:
+        class Frozen(Endpoint):
+            async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
+                reader._transport.pause_reading()  # type: ignore[attr-defined]
+
+        async with sidecar(Frozen()) as one:
+            events = told(one)
+            reader, writer = await one.connect()
+            writer.write(request("pay", LARGE * 40))
+            back = await read_message(reader)
+            assert back.start.split()[1] == "503", "no endpoint has it whole: trying again is harmless"
+            assert [event.outcome for event in events] == [NO_CONNECT]
+            assert not one.driver.calls and not one.driver.balancer.requests
+
+    run(main())
+
+
+def test_a_body_that_stops_after_its_answer_gets_no_second_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("woadyard.net.server.REQUEST_S", 0.05)
+
+    async def main() -> None:
+        async with sidecar(Endpoint(), known=False) as one:
+            one.driver.balancer.banned[7] = None  # all endpoints are out: refused at once
+            reader, writer = await one.connect()
+            writer.write(request("pay", LARGE)[:70_000])
+            assert (await read_message(reader)).start.split()[1] == "503"
+            assert await reader.read() == b""
+
+    run(main())
+
+
 # --- From endpoints -------------------------------------------------------------------
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -24,6 +24,7 @@
     Sidecar,
     Writer,
     answer,
+    push,
     read_message,
     request,
     run,
@@ -56,6 +57,7 @@
             doors = [free_port(), free_port()]
             old = await start({**environ, "LB_CONSOLE": f"127.0.0.1:{doors[0]}"}, listening.fileno())
             await ready(doors[0])
+            await registry.asked.get()
             kept, kept_writer = await asyncio.open_connection("127.0.0.1", port)
             kept_writer.write(request(rid="first"))
             assert "connection" not in (await read_message(kept)).headers
@@ -64,6 +66,9 @@
             await endpoint.arrived.acquire()
             await endpoint.arrived.acquire()
             new = await start({**environ, "LB_CONSOLE": f"127.0.0.1:{doors[1]}"}, listening.fileno())
+            _, watch = await registry.asked.get()
+            assert (await call(doors[1], "GET", "/_ready")).start.startswith("HTTP/1.1 503"), "no list yet"
+            push(watch, 2, True, endpoint.entry())
             await ready(doors[1])
             old.send_signal(signal.SIGTERM)
             while (await call(doors[0], "GET", "/_ready")).start.startswith("HTTP/1.1 200"):
@@ -144,12 +149,15 @@
             doors = [free_port(), free_port()]
             old = await start({**environ, "LB_CONSOLE": f"127.0.0.1:{doors[0]}"}, listening.fileno())
             await ready(doors[0])
+            await registry.asked.get()
             assert await said(doors[0], "detach", "s-9") == "404"
             assert await said(doors[0], "detach", "") == "400"
             for _ in range(2):
                 assert await said(doors[0], "detach", "s-1") == "200"
             await ask(20)
             new = await start({**environ, "LB_CONSOLE": f"127.0.0.1:{doors[1]}"}, listening.fileno())
+            _, watch = await registry.asked.get()
+            push(watch, 2, True, first.entry("s-1"), second.entry("s-2"))
             await ready(doors[1])
             old.send_signal(signal.SIGTERM)
             await old.wait()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -562,3 +562,13 @@
     _, actions = driver.ask(10)
     assert [type(one) for one in actions] == [Refuse]
     assert not balancer.requests
+
+
+def test_one_that_takes_over_asks_discovery_sooner_than_copies_that_start_together() -> None:
+    def first(alone: bool) -> int:
+        balancer = Balancer(1, replace(SETTINGS, asks_discovery=True, ask_within_us=10 * SECOND))
+        (asked,) = balancer.start(0, alone)
+        assert isinstance(asked, Timer)
+        return asked.delay_us
+
+    assert first(False) <= SECOND // 5 < first(True) <= 5 * SECOND // 2
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -19,11 +19,13 @@
 from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver
 from woadyard.net.server import Server
-from woadyard.net.state import LOOK_S, Bans, Seats
+from woadyard.net.state import LOOK_S, Seats
 from woadyard.net.upstream import Upstream
 
 LIST_PATH = "/registry/instances"
 OTHER_SOCKETS = 32
+# A process that takes over waits no longer for discovery's first word.
+UNHEARD_US = 3_000_000
 
 
 class Reload:
@@ -47,10 +49,12 @@
         print(f"woadyard: {text}", file=sys.stderr, flush=True)
 
 
-def routes(server: Server, bans: Bans) -> Routes:
+def routes(server: Server, may_serve: Callable[[], bool]) -> Routes:
     """The operators' calls. They run on the door's thread: what they read of
     the balancing is single values, and nothing there waits for them."""
 
+    bans = server.driver.bans
+
     def change(act: Callable[[str], bool], body: str) -> str:
         if not body:
             raise CallError(HTTPStatus.BAD_REQUEST, "the body names no endpoint")
@@ -59,7 +63,7 @@
         return f"done, out are: {' '.join(bans.banned) or 'none'}"
 
     def ready(body: str) -> str:
-        if not server.accepting:
+        if not server.accepting or not may_serve():
             raise CallError(HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
         return "ready"
 
@@ -70,17 +74,20 @@
     }
 
 
-def open_console(config: Config, server: Server, bans: Bans) -> Console | None:
+def open_console(config: Config, server: Server, seats: Seats | None) -> Console | None:
     if config.console is None:
         return None
-    looks = [bans.look]
-    if config.state is not None:
+    driver = server.driver
+    # One that takes over has to know what its elder knows by now, if anybody tells.
+    since = None if seats is None or seats.alone else driver.now()
+    looks = [driver.bans.look]
+    if seats is not None:
+        looks.append(seats.look)
 
-        def seated(alone: bool) -> None:
-            server.driver.loop.call_soon_threadsafe(server.share, 1.0 if alone else 0.5)
+    def may_serve() -> bool:
+        return since is None or driver.heard or driver.now() - since > UNHEARD_US
 
-        looks.append(Seats(config.state, seated).look)
-    console = Console(routes(server, bans), looks, LOOK_S)
+    console = Console(routes(server, may_serve), looks, LOOK_S)
     try:
         console.open(*config.console)
     except (OSError, OverflowError) as error:
@@ -88,6 +95,21 @@
     return console
 
 
+def take_seat(
+    config: Config, loop: asyncio.AbstractEventLoop, shared: Callable[[float], None]
+) -> Seats | None:
+    """Where a second process of this sidecar may run beside this one."""
+    if config.state is None:
+        return None
+
+    def changed(alone: bool) -> None:
+        loop.call_soon_threadsafe(shared, 1.0 if alone else 0.5)
+
+    seats = Seats(config.state, changed)
+    seats.look()
+    return seats
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     # Both sides share the sockets, less some for the listener, the watch and the loop.
@@ -105,11 +127,12 @@
         random.Random(config.seed),
     )
     loop.add_signal_handler(signal.SIGHUP, Reload(config, driver, discovery))
+    server = Server(driver, most)
+    seats = take_seat(config, loop, server.share)
     try:
-        driver.start(config.known)
+        driver.start(config.known, seats is None or seats.alone)
     except ValueError as error:
         raise ConfigError(f"known: {error}") from None
-    server = Server(driver, most)
     upstream.others, upstream.give_way = lambda: len(server.callers), server.give_way
     try:
         if config.accept is None:
@@ -118,7 +141,7 @@
             await server.adopt(config.accept)
     except (OSError, OverflowError, ValueError) as error:
         raise ConfigError(f"can't listen: {error}") from None
-    console = open_console(config, server, driver.bans)
+    console = open_console(config, server, seats)
     ended = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, server.stop, ended.set)
     loop.add_signal_handler(signal.SIGINT, server.stop, ended.set)
--- a/woadyard/interface.py
+++ b/woadyard/interface.py
@@ -6,7 +6,8 @@
 their order. The caller owes it a clock that never goes back, one `outcome` for
 each `Send`, and each `Timer` at its time or after, never before.
 
-    start(now)                the sidecar is up; a cached list follows
+    start(now, alone)         the sidecar is up, alone or beside the process that it
+                              takes over from; a cached list follows
     members(now, mode, list)  discovery's view: LIST_FULL, _DELTA, _CACHED, _FAILED
     retune(now, Settings)     new settings; classes keep their numbers, more may follow
     detach(now, endpoint)     an operator takes it out, above all lists
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -34,6 +34,7 @@
     LIST_FAILED,
     LIST_FULL,
     MOOT,
+    NO_CONNECT,
     OK,
     READY,
     SERVED_RATE,
@@ -131,6 +132,7 @@
         self.balancer = Balancer(seed, self.settings)
         self.wall_us = wall_us
         self.discovery: Discovery | None = None
+        self.heard = False  # a list of discovery, since the start
         self.places: dict[int, Place] = {}
         self.left: dict[int, tuple[int, int]] = {}  # told away: by which version, and its start
         self.calls: dict[int, Call] = {}
@@ -196,8 +198,8 @@
             if call is not None and call.open:
                 self._answer(call, Answer(500))
 
-    def start(self, known: dict[str, Any] | None) -> None:
-        self.tell(self.balancer.start)
+    def start(self, known: dict[str, Any] | None, alone: bool = True) -> None:
+        self.tell(self.balancer.start, alone)
         if known is not None:
             self._list(LIST_CACHED, int(known["generation"]), known["instances"])
         if self.discovery is not None:
@@ -210,6 +212,7 @@
 
     def listed(self, version: int, whole: bool, entries: list[dict[str, Any]]) -> None:
         self._list(LIST_FULL if whole else LIST_DELTA, version, entries)
+        self.heard = True
 
     def _list_failed(self) -> None:
         self.tell(self.balancer.members, LIST_FAILED, ())
@@ -336,6 +339,13 @@
             attempt.until = min(attempt.until, expires)
         self.tell(self.balancer.whole, call.id, expires, call=call)
 
+    def stuck(self, call: Call) -> None:
+        """The endpoint takes no more of a body: it can't have run what it has not."""
+        for attempt in call.attempts:
+            if attempt.out:
+                self.upstream.cancel(attempt)
+                self.ended(attempt, NO_CONNECT, None, b"")
+
     def gone(self, call: Call) -> None:
         """The client closed its connection."""
         if call.open:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -41,6 +41,8 @@
 REQUEST_S = 2.5
 # Past that a body has to bring so much in each such time: callers send 64 kB a second.
 LOAD_S, LOAD_LEAST = 1.5, 16 * 1024
+# After so many of them an endpoint that takes nothing of a body has failed.
+STUCK_LOOKS = 2
 # An answer that is passed on may stand still for this long, whoever is to blame.
 RELAY_S = 10.0
 # So long may a body take that is passed on as it comes, before its time begins to run.
@@ -125,6 +127,7 @@
         self.shedding = False  # answered already: the rest of the body is dropped
         self.patience: asyncio.TimerHandle | None = None  # runs while a request is owed
         self.owed_since = 0.0  # by the loop's clock, where `patience` runs for a request
+        self.stuck = 0  # looks in a row at a body that its endpoint doesn't take
         self.moved = 0  # bytes by the last look at their progress
         self.on_message_begin()
         self.reading = False
@@ -189,10 +192,15 @@
 
     def _out_of_patience(self) -> None:
         self.patience = None
-        if self.in_body and (self.paused or self.size - self.moved >= LOAD_LEAST):
+        moved = self.size - self.moved
+        if self.in_body and (self.paused or moved >= LOAD_LEAST):
+            # Held up by the endpoint: that it takes nothing more is its own failure.
+            self.stuck = self.stuck + 1 if self.paused and not moved else 0
             self.moved = self.size
             self.patience = self.server.driver.loop.call_later(LOAD_S, self._out_of_patience)
-        elif self.reading:
+            if self.stuck >= STUCK_LOOKS and self.call is not None:
+                self.server.driver.stuck(self.call)
+        elif self.reading and not self.shedding:
             self.refuse(BadRequestError(408, "the request did not come whole in time"))
         else:
             self.server.close(self)
@@ -474,6 +482,9 @@
 
     def refuse(self, error: BadRequestError) -> None:
         """A plain 4xx, then the end."""
+        if self.shedding:  # answered already
+            self.server.close(self)
+            return
         if self.upload is not None and self.call is not None:
             call, self.call, self.upload = self.call, None, None
             self.server.driver.gone(call)
--- a/woadyard/policy.py
+++ b/woadyard/policy.py
@@ -84,6 +84,8 @@
 HOLD_SHARE = 0.02
 # Discovery is asked again within this part of the time it may go unasked, doubled by failures.
 ASK_AGAIN, ASK_MOST = 0.1, 0.4
+# And first within this part, from the start on.
+START_PART, TAKE_OVER_PART = 0.25, 0.02
 
 BLAME = {
     ERROR: BLAME_ERROR,
@@ -526,11 +528,13 @@
 
     # --- Membership and groups --------------------------------------------
 
-    def start(self, now: int) -> list[Action]:
+    def start(self, now: int, alone: bool = True) -> list[Action]:
         self.sends, self.served = Rate(self.rate_memory, now), Rate(self.rate_memory, now)
         if self.s.asks_discovery:
-            # Copies started together must not ask together.
-            self._timer(TIMER_WATCH, 0, int(self.rng.random() * self.s.ask_within_us / 4))
+            # Copies started together must not ask together. One that takes over from
+            # another is started for itself, and news bind it soon.
+            part = START_PART if alone else TAKE_OVER_PART
+            self._timer(TIMER_WATCH, 0, int(self.rng.random() * part * self.s.ask_within_us))
         return self._taken(now)
 
     def members(self, now: int, mode: int, entries: Sequence[Entry]) -> list[Action]:
