Serve a caller that never reads no more, and cut it off after a while

Known since long and listed as open: each answer to a caller that asks on without reading went into its write buffer, so that memory grew by what the endpoints gave; and `close` in net/server.py waited for such a buffer without end, keeping the socket. Not taken: a sum over all buffers, as none holds more than one answer beyond its mark by now.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -20,6 +20,7 @@
 )
 from woadyard.interface import NO_CONNECT, Action, Outcome
 from woadyard.net.message import HOLD_MAX, READ_SIZE
+from woadyard.net.server import Caller
 
 LARGE = bytes(range(256)) * 4096  # 1 MiB
 
@@ -384,6 +385,39 @@
     run(main())
 
 
+def test_a_caller_that_asks_on_and_never_reads_is_served_no_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+            writer.write(answer(body=LARGE[:HOLD_MAX]))
+
+        endpoint = Endpoint(reply)
+        async with sidecar(endpoint) as one:
+            reader, writer = await one.connect()
+            reader._transport.pause_reading()  # type: ignore[attr-defined]
+            (caller,) = await callers(one)
+            for n in range(400):
+                writer.write(request(rid=f"r{n}"))
+            await until(lambda: caller.clogged and caller.paused)
+            assert caller.transport is not None
+            served, size = len(endpoint.got), caller.transport.get_write_buffer_size()
+            assert served < 400 and size <= HOLD_MAX + 4 * READ_SIZE
+            reader._transport.resume_reading()  # type: ignore[attr-defined]
+            for _ in range(400):
+                assert len((await read_message(reader)).body) == HOLD_MAX
+            monkeypatch.setattr("woadyard.net.server.RELAY_S", 0.05)
+            reader._transport.pause_reading()  # type: ignore[attr-defined]
+            for n in range(400, 800):
+                writer.write(request(rid=f"r{n}"))
+            await until(lambda: not one.server.callers)
+
+    run(main())
+
+
+async def callers(one: Sidecar) -> list[Caller]:
+    await until(lambda: bool(one.server.callers))
+    return list(one.server.callers)
+
+
 def test_an_endpoint_that_reads_slowly_holds_up_the_caller() -> None:
     async def main() -> None:
         release = asyncio.Event()
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -124,6 +124,8 @@
         self.parser = httptools.HttpRequestParser(self)
         self.fed = 0  # bytes since the last whole request
         self.held = self.paused = False  # the endpoint takes no more; nothing is read
+        self.clogged = False  # it reads no answers
+        self.jam: asyncio.TimerHandle | None = None  # runs meanwhile
         self.shedding = False  # answered already: the rest of the body is dropped
         self.patience: asyncio.TimerHandle | None = None  # runs while a request is owed
         self.owed_since = 0.0  # by the loop's clock, where `patience` runs for a request
@@ -142,6 +144,8 @@
         self.over = True
         self.waiting.clear()
         self._wait()
+        if self.jam is not None:
+            self.jam.cancel()
         self.source = self.upload = None
         if self.call is not None:
             self.server.driver.gone(self.call)
@@ -351,7 +355,7 @@
 
     def next(self) -> None:
         """Serve the oldest request read; a caller is heard once it is answered."""
-        while self.waiting and self.call is None and not self.over:
+        while self.waiting and self.call is None and not (self.over or self.clogged):
             asked, self.keep = self.waiting.popleft()
             if isinstance(asked, Answer):
                 self._write(asked)
@@ -435,16 +439,29 @@
             return
         if self.chunked:
             self.transport.write(LAST_CHUNK)
+        if self.clogged:  # what is left of it is still timed
+            self.pause_writing()
         self._after(self._kept() and self.upload is None)
         self._served()
 
     def pause_writing(self) -> None:
+        """Guards memory against a caller that never reads: nothing more is served to
+        it meanwhile, and after a while it is cut off."""
+        self.clogged = True
         if self.source is not None:
             self.source.pace(True)
+        elif self.transport is not None and self.jam is None:
+            self.jam = self.server.driver.loop.call_later(RELAY_S, self.transport.abort)
 
     def resume_writing(self) -> None:
+        self.clogged = False
+        if self.jam is not None:
+            self.jam.cancel()
+            self.jam = None
         if self.source is not None:
             self.source.pace(False)
+        else:
+            self._served()
 
     def _relay_moves(self) -> None:
         """Look now and then whether the answer still gets on."""
@@ -474,8 +491,7 @@
         """An answer was written."""
         if not keep:
             self.over = True
-            assert self.transport is not None
-            self.transport.close()
+            self.server.close(self)
         elif self.idle():
             self.server.rest(self)
         self._wait()
@@ -656,6 +672,8 @@
         caller.over = True
         if caller.transport is not None:
             caller.transport.close()
+            if caller.transport.get_write_buffer_size():  # who never reads would stay for good
+                self.driver.loop.call_later(RELAY_S, caller.transport.abort)
 
     def _stop_listening(self, least: float) -> None:
         loop = self.driver.loop
