--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 
 import pytest
@@ -306,7 +308,7 @@
     run(main())
 
 
-@pytest.mark.parametrize("form", ["length", "chunked"])
+@pytest.mark.parametrize("form", ["length", "chunked", "close"])
 def test_an_answer_that_breaks_off_is_seen_not_to_be_whole(form: str) -> None:
     async def main() -> None:
         async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
@@ -314,6 +316,8 @@
             await until(
                 lambda: bool(one.driver.calls) and bool(next(iter(one.driver.calls.values())).relayed)
             )
+            linger = struct.pack("ii", 1, 0)  # a reset: a clean end would end the last form
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
 
         endpoint = Endpoint(reply)
