--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from woadyard.interface import Action, Outcome
 from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver
 from woadyard.net.server import Server
@@ -216,3 +217,16 @@
         yield Sidecar(driver, upstream, server, port)
         if server.listener is not None:
             server.listener.close()
+
+
+def outcomes(one: Sidecar) -> list[Outcome]:
+    """All that the module is told of attempts from now on."""
+    told: list[Outcome] = []
+    real = one.driver.balancer.outcome
+
+    def outcome(now: int, event: Outcome) -> list[Action]:
+        told.append(event)
+        return real(now, event)
+
+    vars(one.driver.balancer)["outcome"] = outcome
+    return told
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -15,12 +15,13 @@
     Sidecar,
     Writer,
     answer,
+    outcomes,
     read_message,
     request,
     run,
     sidecar,
 )
-from woadyard.interface import NO_CONNECT, Action, Outcome
+from woadyard.interface import NO_CONNECT
 from woadyard.net.message import HOLD_MAX, READ_SIZE
 from woadyard.net.server import Caller
 
@@ -155,18 +156,6 @@
     run(main())
 
 
-def told(one: Sidecar) -> list[Outcome]:
-    events: list[Outcome] = []
-    real = one.driver.balancer.outcome
-
-    def outcome(now: int, event: Outcome) -> list[Action]:
-        events.append(event)
-        return real(now, event)
-
-    vars(one.driver.balancer)["outcome"] = outcome
-    return events
-
-
 def test_an_answer_while_the_body_still_comes_does_not_cut_it_off() -> None:
     async def main() -> None:
         async with sidecar(Endpoint(), known=False) as one:
@@ -218,7 +207,7 @@
                 reader._transport.pause_reading()  # type: ignore[attr-defined]
 
         async with sidecar(Frozen()) as one:
-            events = told(one)
+            events = outcomes(one)
             reader, writer = await one.connect()
             writer.write(request("pay", LARGE * 40))
             back = await read_message(reader)
@@ -349,7 +338,7 @@
         bad, good = Endpoint(head(raw)), Endpoint()
         async with sidecar(bad, good) as one:
             one.told(bad.entry("s-0"))
-            events = told(one)
+            events = outcomes(one)
             back = await one.ask(request("pay"))
             assert back.start.split()[1] == "502" and len(bad.got) == 1, "it may have run"
             assert len(events) == 1
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -25,6 +25,7 @@
     Sidecar,
     Writer,
     answer,
+    outcomes,
     push,
     push_raw,
     read_message,
@@ -48,7 +49,6 @@
     TIMEOUT,
     Action,
     Entry,
-    Outcome,
     Refuse,
 )
 from woadyard.net.driver import Driver
@@ -58,19 +58,6 @@
 from woadyard.net.upstream import Attempt, Link
 
 
-def outcomes(one: Sidecar) -> list[Outcome]:
-    """All that the module is told of attempts from now on."""
-    told: list[Outcome] = []
-    real = one.driver.balancer.outcome
-
-    def outcome(now: int, event: Outcome) -> list[Action]:
-        told.append(event)
-        return real(now, event)
-
-    vars(one.driver.balancer)["outcome"] = outcome
-    return told
-
-
 def lists(one: Sidecar) -> asyncio.Queue[tuple[int, list[Entry]]]:
     """All lists that the module is told from now on."""
     told: asyncio.Queue[tuple[int, list[Entry]]] = asyncio.Queue()
