Log one JSON object a line through logging, rate-limited per event

'log-level' in the file (default info) is checked at the start and at SIGHUP. All prints and the module's fault trace go through it; refused requests are an event of their own.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -105,7 +105,7 @@
             process = await start({**config(tmp_path, registry), "LB_ACCEPT_FD": descriptor})
             _, errors = await process.communicate()
             assert process.returncode == 2
-            assert errors.count(b"\n") == 1 and errors.startswith(b"woadyard: ")
+            assert errors.count(b"\n") == 1 and json.loads(errors)["event"] == "can't start"
 
     run(main())
 
@@ -118,7 +118,7 @@
             process = await start(config(tmp_path, registry, console=console))
             _, errors = await process.communicate()
             assert process.returncode == 2
-            assert errors.count(b"\n") == 1 and errors.startswith(b"woadyard: ")
+            assert errors.count(b"\n") == 1 and json.loads(errors)["event"] == "can't start"
 
     run(main())
 
@@ -231,7 +231,7 @@
 
 @pytest.mark.parametrize("raw", BAD_FILES)
 def test_a_bad_file_is_turned_down_whole_with_one_line(
-    tmp_path: Path, raw: dict[str, Any] | bytes, capfd: pytest.CaptureFixture[str]
+    tmp_path: Path, raw: dict[str, Any] | bytes, caplog: pytest.LogCaptureFixture
 ) -> None:
     async def main() -> None:
         async with tuned(tmp_path, Endpoint()) as now:
@@ -239,8 +239,7 @@
             now.read(raw)
             assert now.one.driver.settings is before and now.discovery.address == address
             assert (await now.one.ask(request())).body == b"ok"
-        errors = capfd.readouterr().err
-        assert errors.count("\n") == 1 and errors.startswith("woadyard: not reloaded: ")
+        assert [record.getMessage() for record in caplog.records] == ["not reloaded"]
 
     run(main())
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import gc
+import json
 import os
 import signal
 import socket
@@ -264,9 +265,7 @@
         b'{"generation": 43, "reset": true, "instances": [{"instanceId": 3, "lifecycle": "ready"}]}\n',
     ],
 )
-def test_a_bad_line_is_logged_and_the_watch_restarted(
-    line: bytes, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_a_bad_line_is_logged_and_the_watch_restarted(line: bytes, caplog: pytest.LogCaptureFixture) -> None:
     async def main() -> None:
         registry = Registry()
         async with sidecar(Endpoint(), registry=registry) as one:
@@ -277,7 +276,7 @@
             assert (await one.ask(request())).body == b"ok"
 
     run(main())
-    assert "bad line from discovery" in capsys.readouterr().err
+    assert "bad line from discovery" in caplog.messages
 
 
 def test_endpoints_that_left_are_forgotten_after_the_grace() -> None:
@@ -444,7 +443,7 @@
     run(main())
 
 
-def test_a_fault_of_the_module_is_answered_and_survived(capsys: pytest.CaptureFixture[str]) -> None:
+def test_a_fault_of_the_module_is_answered_and_survived(caplog: pytest.LogCaptureFixture) -> None:
     async def main() -> None:
         async with sidecar(Endpoint()) as one:
             real = one.driver.balancer.request
@@ -458,7 +457,7 @@
             assert (await one.ask(request(rid="r2"))).body == b"ok"
 
     run(main())
-    assert "broken" in capsys.readouterr().err
+    assert "RuntimeError: broken" in caplog.text
 
 
 def test_the_client_that_leaves_calls_its_attempt_off() -> None:
@@ -981,12 +980,12 @@
             (tmp_path / "config.json").write_text("{")
             process.send_signal(signal.SIGHUP)
             line = await process.stderr.readline()
-            assert line.startswith(b"woadyard: not reloaded: ")
+            assert json.loads(line)["event"] == "not reloaded"
             config(tmp_path, new, **changes)
             process.send_signal(signal.SIGHUP)
             start_line, watch = await new.asked.get()
             assert "from=5 " in start_line
-            assert (await process.stderr.readline()).startswith(b"woadyard: reloaded: ")
+            assert json.loads(await process.stderr.readline())["event"] == "reloaded"
             watch.close()  # no list came: the new address is asked again
             await new.asked.get()
             process.send_signal(signal.SIGTERM)
@@ -1013,7 +1012,7 @@
         process = await start(config(tmp_path, registry, **changes))
         out, errors = await process.communicate()
         assert process.returncode == 2 and out == b""
-        assert errors.count(b"\n") == 1 and errors.startswith(b"woadyard: ")
+        assert errors.count(b"\n") == 1 and json.loads(errors)["event"] == "can't start"
 
     run(main())
 
@@ -1023,6 +1022,6 @@
         environ = {name: value for name, value in os.environ.items() if name != "LB_CONFIG"}
         process = await start(environ)
         _, errors = await process.communicate()
-        assert (process.returncode, errors) == (2, b"woadyard: LB_CONFIG is not set\n")
+        assert process.returncode == 2 and json.loads(errors)["error"] == "LB_CONFIG is not set"
 
     run(main())
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import logging
 import os
 import random
 import signal
@@ -14,14 +15,16 @@
 
 import uvloop
 
-from woadyard.net.config import SOCKETS_DEFAULT, Config, ConfigError, read_again, read_config
+from woadyard.net.config import SOCKETS_DEFAULT, Config, ConfigError, log_level, read_again, read_config
 from woadyard.net.console import DESCRIPTORS, CallError, Console, Route, Routes
 from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver
 from woadyard.net.server import Server
 from woadyard.net.state import LOOK_S, Seats
 from woadyard.net.upstream import Upstream
+from woadyard.ops import logs
 
+LOG = logging.getLogger("woadyard")
 LIST_PATH = "/registry/instances"
 OTHER_SOCKETS = 32
 # A process that takes over waits no longer for discovery's first word.
@@ -39,14 +42,14 @@
         try:
             raw, settings = read_again(self.path, self.force)
         except ConfigError as error:
-            print(f"woadyard: not reloaded: {error}", file=sys.stderr, flush=True)
+            LOG.warning("not reloaded", extra={"error": str(error)})
             return
         self.force = raw
         self.driver.retune(raw["settings"], settings)
         self.discovery.move(str(raw["discovery"]))
-        classes = " ".join(sorted(self.driver.names.classes))
-        text = f"reloaded: classes {classes}; attempts {settings.max_attempts}; discovery {raw['discovery']}"
-        print(f"woadyard: {text}", file=sys.stderr, flush=True)
+        LOG.setLevel(log_level(raw).upper())
+        fields = {"classes": sorted(self.driver.names.classes), "attempts": settings.max_attempts}
+        LOG.info("reloaded", extra={**fields, "discovery": raw["discovery"]})
 
 
 def routes(server: Server, may_serve: Callable[[], bool]) -> Routes:
@@ -152,15 +155,31 @@
     upstream.close()
 
 
+def say_suppressed(loop: asyncio.AbstractEventLoop, limit: logs.RateLimit) -> None:
+    """Now and then, what the rate limit held back, where nothing said it since."""
+    limit.flush(LOG)
+    loop.call_later(logs.WINDOW_S, say_suppressed, loop, limit)
+
+
+async def run(config: Config, limit: logs.RateLimit) -> None:
+    say_suppressed(asyncio.get_running_loop(), limit)
+    try:
+        await serve(config)
+    finally:
+        limit.flush(LOG)
+
+
 def main() -> int:
+    limit = logs.setup()
     # What stands now stays: the collector need not walk it again.
     gc.set_threshold(50_000, 20, 50)
     gc.freeze()
     try:
         config = read_config(dict(os.environ))
-        uvloop.run(serve(config))
+        LOG.setLevel(config.log_level.upper())
+        uvloop.run(run(config, limit))
     except ConfigError as error:
-        print(f"woadyard: {error}", file=sys.stderr)
+        LOG.error("can't start", extra={"error": str(error)})
         return 2
     return 0
 
--- a/woadyard/net/config.py
+++ b/woadyard/net/config.py
@@ -13,6 +13,7 @@
 from woadyard.wire import WireError, read_settings
 
 SOCKETS_DEFAULT = 1024
+LOG_LEVELS = ("debug", "info", "warning", "error")
 # What each class must say in a file read again, and a keyed one besides.
 CLASS_KEYS = ("name", "repeat", "aim-us", "deadline-us")
 KEYED_KEYS = ("dedup-scope", "repeat-window-us")
@@ -40,6 +41,7 @@
     settings: Settings
     known: dict[str, Any] | None
     state: Path | None  # what outlives this process; nothing where none is kept
+    log_level: str = "info"
 
 
 def address(text: Any) -> tuple[str, int]:
@@ -80,11 +82,20 @@
             settings=read_settings(json.dumps(raw["settings"]).encode()),
             known=known,
             state=state_path(environ, raw) if console else None,
+            log_level=log_level(raw),
         )
     except FAULTS as error:
         raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
 
 
+def log_level(raw: dict[str, Any]) -> str:
+    """The lowest level of the lines logged; `info` where the file says none."""
+    level = raw.get("log-level", "info")
+    if level not in LOG_LEVELS:
+        raise ValueError(f"log-level is none of {', '.join(LOG_LEVELS)}: {level!r}")
+    return str(level)
+
+
 def read_file(path: str) -> dict[str, Any]:
     with open(path, "rb") as file:
         raw = json.load(file)
@@ -102,6 +113,7 @@
         raw = read_file(path)
         _has_all(raw, force, "", START_ONLY)
         address(raw["discovery"])
+        log_level(raw)
         settings = raw["settings"]
         _has_all(settings, force["settings"], "settings.")
         for part in ("ceilings", "invariants"):
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import json
+import logging
 import random
-import sys
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -18,6 +18,7 @@
 RETRY_S, RETRY_MOST_S = 0.1, 2.0
 CONNECT_S = 2.0
 LINE_MAX = 16 * 1024 * 1024
+LOG = logging.getLogger(__name__)
 
 # Takes one list (version, whether it is whole, entries); ValueError if it is bad.
 Listen = Callable[[int, bool, list[dict[str, Any]]], None]
@@ -49,7 +50,7 @@
             self.parser.feed_data(data)
             self._read()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
-            print(f"woadyard: bad line from discovery: {error}", file=sys.stderr, flush=True)
+            LOG.warning("bad line from discovery", extra={"error": str(error), "at": self.owner.address})
             self.fail()
 
     def on_body(self, data: bytes) -> None:
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -8,9 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-import sys
+import logging
 import time
-import traceback
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
@@ -62,6 +61,7 @@
 from woadyard.net.upstream import Attempt, Upstream
 from woadyard.policy import Balancer
 
+LOG = logging.getLogger(__name__)
 PHASES = {"ready": READY, "draining": DRAINING, "gone": GONE}
 # Load-report names on the socket; those of the settings may differ.
 REPORT_NAMES = {
@@ -193,7 +193,7 @@
                 self._do(action)
         except Exception:
             # Guards the process and its callers against a fault of the module.
-            traceback.print_exc()
+            LOG.exception("fault in the module")
             self.balancer.out.clear()
             if call is not None and call.open:
                 self._answer(call, Answer(500))
@@ -482,7 +482,7 @@
                 if self.discovery is not None:
                     self.discovery.fetch()
             case Log(text):
-                print(f"woadyard: {text}", file=sys.stderr, flush=True)
+                LOG.info("module", extra={"text": text})
             case _:
                 raise TypeError(f"{action!r} is not of this deployment")
 
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 import struct
 import zlib
@@ -69,6 +70,9 @@
 IDS_S, ID_MAX = 30.0, 128
 
 
+LOG = logging.getLogger(__name__)
+
+
 class BadRequestError(Exception):
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
@@ -498,6 +502,7 @@
 
     def refuse(self, error: BadRequestError) -> None:
         """A plain 4xx, then the end."""
+        LOG.info("request refused", extra={"status": error.status, "why": str(error)})
         if self.shedding:  # answered already
             self.server.close(self)
             return
--- a/woadyard/net/state.py
+++ b/woadyard/net/state.py
@@ -9,8 +9,8 @@
 
 import fcntl
 import json
+import logging
 import os
-import sys
 import threading
 from collections.abc import Callable, Iterable
 from hashlib import blake2b
@@ -19,6 +19,7 @@
 
 # Names that are remembered, the latest: guards memory where endpoints come and go.
 LISTED_MOST = 50_000
+LOG = logging.getLogger(__name__)
 # How often the file is looked at: well within the grace of a drain.
 LOOK_S = 0.05
 
@@ -105,7 +106,7 @@
         except OSError as error:
             if str(error) != self.failed:  # once for each cause
                 self.failed = str(error)
-                print(f"woadyard: state is not kept: {error}", file=sys.stderr, flush=True)
+                LOG.warning("state is not kept", extra={"error": str(error)})
 
     def _exchange(self) -> None:
         self._read()
@@ -122,9 +123,7 @@
         except FileNotFoundError:
             return
         except (OSError, ValueError, KeyError, TypeError) as error:
-            print(
-                f"woadyard: state is not read: {type(error).__name__}: {error}", file=sys.stderr, flush=True
-            )
+            LOG.warning("state is not read", extra={"error": f"{type(error).__name__}: {error}"})
             return
         self.unsaved |= not self.listed.keys() <= listed.keys()
         self.listed = {**listed, **self.listed}
--- /dev/null
+++ b/woadyard/ops/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's surface: the command line, structured logs and metrics."""
