--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the program that tests do not assert."""
--- /dev/null
+++ b/benchmarks/metrics_cost.py
@@ -0,0 +1,87 @@
+"""What counting costs on the hot path, and how soon the door answers under load.
+
+Run from the project's root with the dev tools: `.venv-dev/bin/python -m
+benchmarks.metrics_cost`. Prints requests per second of one sidecar on
+loopback with counts kept (`Metrics`) and without (`Quiet`), in turns, and the
+slowest and median answers of `/_metrics` from a sidecar process under load
+beside idle connections. Numbers vary with the machine: compare within a run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import time
+from itertools import count
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from tests.process import call, with_door
+from tests.sockets import Endpoint, Registry, read_message, request, sidecar
+from woadyard.ops.metrics import Metrics, Quiet
+
+REQUESTS, AT_ONCE, TURNS, IDLE = 4_000, 32, 4, 100
+IDS = count()  # a repeated X-Request-Id is turned down
+
+
+async def load(port: int, requests: int = REQUESTS) -> float:
+    """Requests per second over `AT_ONCE` keep-alive connections."""
+    todo = list(range(requests))
+
+    async def caller() -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        while todo:
+            todo.pop()
+            writer.write(request(rid=f"r{next(IDS)}"))
+            await read_message(reader)
+        writer.close()
+
+    began = time.perf_counter()
+    await asyncio.gather(*(caller() for _ in range(AT_ONCE)))
+    return requests / (time.perf_counter() - began)
+
+
+async def hot_path() -> None:
+    async with sidecar(Endpoint()) as one:
+        await load(one.port, 500)  # warm
+        rates: dict[str, list[float]] = {"Metrics": [], "Quiet": []}
+        for _ in range(TURNS):
+            for kind in (Metrics, Quiet):
+                one.driver.metrics = kind()
+                rates[kind.__name__].append(await load(one.port))
+    for name, found in rates.items():
+        print(f"{name:8} requests/s median {statistics.median(found):7.0f}  all {[round(r) for r in found]}")
+
+
+async def door_under_load() -> None:
+    endpoint, registry = Endpoint(), Registry()
+    with TemporaryDirectory() as folder:
+        async with await endpoint.start(), await registry.start():
+            process, port, door = await with_door(Path(folder), registry, endpoint)
+            idle = [await asyncio.open_connection("127.0.0.1", port) for _ in range(IDLE)]
+            running = asyncio.ensure_future(load(port))
+            took = []
+            while not running.done():
+                began = time.perf_counter()
+                await call(door, "GET", "/_metrics")
+                took.append(time.perf_counter() - began)
+            rate = await running
+            for _, writer in idle:
+                writer.close()
+            process.terminate()
+            await process.wait()
+    print(
+        f"door /_metrics under {rate:.0f} requests/s and {IDLE} idle connections: {len(took)} calls, "
+        f"median {statistics.median(took) * 1e3:.1f} ms, slowest {max(took) * 1e3:.1f} ms"
+    )
+
+
+async def main() -> None:
+    await hot_path()
+    await door_under_load()
+
+
+if __name__ == "__main__":
+    import uvloop
+
+    uvloop.run(main())
--- a/tests/process.py
+++ b/tests/process.py
@@ -25,7 +25,10 @@
     return {**os.environ, "LB_CONFIG": str(path), "TMPDIR": str(tmp_path)}
 
 
-async def start(environ: dict[str, str], *inherited: int) -> asyncio.subprocess.Process:
+Process = asyncio.subprocess.Process
+
+
+async def start(environ: dict[str, str], *inherited: int) -> Process:
     pipe = asyncio.subprocess.PIPE
     return await asyncio.create_subprocess_exec(
         sys.executable, "-m", "woadyard", env=environ, stdout=pipe, stderr=pipe, pass_fds=inherited
@@ -56,3 +59,15 @@
 async def ready(port: int) -> None:
     while not (await call(port, "GET", "/_ready")).start.startswith("HTTP/1.1 200"):
         await asyncio.sleep(0.01)
+
+
+async def with_door(folder: Path, registry: Registry, *endpoints: Endpoint) -> tuple[Process, int, int]:
+    """A sidecar process with its door, ready; and the ports of both."""
+    port, door = free_port(), free_port()
+    environ = {
+        **config(folder, registry, *endpoints),
+        "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONSOLE": f"127.0.0.1:{door}",
+    }  # fmt: skip
+    process = await start(environ)
+    await ready(door)
+    return process, port, door
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,60 @@
+"""The door's `/_metrics`: Prometheus text that agrees with what was sent."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from tests.process import call, with_door
+from tests.sockets import Endpoint, Registry, read_message, request, run
+
+REQUESTS, AT_ONCE, IDLE = 300, 30, 40
+
+
+def samples(text: str) -> dict[str, float]:
+    """Each sample by its name and labels, as `name{label=value}`."""
+    found = {}
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            labels = ",".join(f"{key}={value}" for key, value in sorted(sample.labels.items()))
+            found[f"{sample.name}{{{labels}}}" if labels else sample.name] = sample.value
+    return found
+
+
+async def caller(port: int, todo: list[int], done: list[bytes]) -> None:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    while todo:
+        writer.write(request(rid=f"r{todo.pop()}"))
+        done.append((await read_message(reader)).body)
+    writer.close()
+
+
+def test_the_counts_agree_with_what_was_sent_under_load_and_idle_callers(tmp_path: Path) -> None:
+    async def main() -> None:
+        endpoint, registry = Endpoint(), Registry()
+        async with await endpoint.start(), await registry.start():
+            process, port, door = await with_door(tmp_path, registry, endpoint)
+            idle = [await asyncio.open_connection("127.0.0.1", port) for _ in range(IDLE)]
+            todo, done = list(range(REQUESTS)), list[bytes]()
+            load = asyncio.gather(*(caller(port, todo, done) for _ in range(AT_ONCE)))
+            while not load.done():  # read while the load runs: each answer is whole and in order
+                during = samples((await call(door, "GET", "/_metrics")).body.decode())
+                assert during["woadyard_requests_total"] <= REQUESTS
+            await load
+            after = samples((await call(door, "GET", "/_metrics")).body.decode())
+            for _, writer in idle:
+                writer.close()
+            process.send_signal(signal.SIGTERM)
+            await process.wait()
+        assert done == [b"ok"] * REQUESTS and len(endpoint.got) == REQUESTS
+        assert after["woadyard_requests_total"] == REQUESTS
+        assert after["woadyard_answers_total{status=200}"] == REQUESTS
+        assert after["woadyard_attempts_total"] == REQUESTS and after["woadyard_retries_total"] == 0
+        assert after["woadyard_attempt_outcomes_total{outcome=ok}"] == REQUESTS
+        assert after["woadyard_request_seconds_count"] == REQUESTS
+        assert after["woadyard_list_version"] == 1
+
+    run(main())
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -15,6 +15,7 @@
 
 import uvloop
 
+from woadyard import cli
 from woadyard.net.config import SOCKETS_DEFAULT, Config, ConfigError, log_level, read_again, read_config
 from woadyard.net.console import DESCRIPTORS, CallError, Console, Route, Routes
 from woadyard.net.discovery import Discovery
@@ -22,7 +23,8 @@
 from woadyard.net.server import Server
 from woadyard.net.state import LOOK_S, Seats
 from woadyard.net.upstream import Upstream
-from woadyard.ops import cli, logs
+from woadyard.ops import logs
+from woadyard.ops.metrics import Metrics
 
 LOG = logging.getLogger("woadyard")
 LIST_PATH = "/registry/instances"
@@ -72,6 +74,7 @@
 
     return {
         b"/_ready": Route(b"GET", ready),
+        b"/_metrics": Route(b"GET", lambda body: server.driver.metrics.render()),
         b"/_endpoints/detach": Route(b"POST", partial(change, bans.detach)),
         b"/_endpoints/attach": Route(b"POST", partial(change, bans.attach)),
     }
@@ -120,7 +123,9 @@
     most = max(16, min(config.sockets, SOCKETS_DEFAULT) - aside)
     upstream = Upstream(loop, Driver.now, most)
     raw = config.raw["settings"]
-    driver = Driver(loop, config.seed, config.settings, raw, upstream, state=config.state)
+    # Counts are kept where a door can show them.
+    metrics = Metrics() if config.console else None
+    driver = Driver(loop, config.seed, config.settings, raw, upstream, state=config.state, metrics=metrics)
     discovery = driver.discovery = Discovery(
         loop,
         config.discovery,
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -59,6 +59,7 @@
 from woadyard.net.message import Answer, Call
 from woadyard.net.state import Bans, endpoint_number
 from woadyard.net.upstream import Attempt, Upstream
+from woadyard.ops.metrics import Quiet
 from woadyard.policy import Balancer
 
 LOG = logging.getLogger(__name__)
@@ -125,8 +126,10 @@
         upstream: Upstream,
         wall_us: Callable[[], int] = lambda: time.time_ns() // 1000,
         state: Path | None = None,
+        metrics: Quiet | None = None,
     ) -> None:
         self.loop, self.upstream = loop, upstream
+        self.metrics = metrics or Quiet()
         self.numbers: dict[tuple[str, RequestClass], int] = {}  # of each class there ever was
         self._settle(raw, settings)
         self.balancer = Balancer(seed, self.settings)
@@ -215,6 +218,7 @@
         self.heard = True
 
     def _list_failed(self) -> None:
+        self.metrics.listed(LIST_FAILED, 0)
         self.tell(self.balancer.members, LIST_FAILED, ())
 
     def _list(self, mode: int, version: int, raw: list[dict[str, Any]]) -> None:
@@ -223,6 +227,7 @@
         except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
             raise ValueError(f"no entry: {error!r}") from None
         self.bans.note(one["instanceId"] for one in raw)
+        self.metrics.listed(mode, version)
         read = [one for one in read if not self._outdated(version, *one)]
         now = self.now()
         # Guards memory where endpoints come and go: past the grace nothing may start there.
@@ -306,10 +311,12 @@
         self.loop.call_soon_threadsafe(self._detach if out else self._attach, number)
 
     def _detach(self, number: int) -> None:
+        self.metrics.banned(True)
         self.upstream.remove(number)
         self.tell(self.balancer.detach, number)
 
     def _attach(self, number: int) -> None:
+        self.metrics.banned(False)
         if (place := self.places.get(number)) is not None and place.left_at is None:
             self._open(number, place)
         self.tell(self.balancer.attach, number)
@@ -318,7 +325,8 @@
 
     def take(self, call: Call) -> None:
         self.next_id += 1
-        call.id = self.next_id
+        call.id, call.taken = self.next_id, self.now()
+        self.metrics.taken()
         self.calls[call.id] = call
         loading = call.upload is not None and not call.upload.whole
         if not loading:
@@ -365,6 +373,7 @@
             self.tell(self.balancer.gone, call.id)
 
     def _answer(self, call: Call, answer: Answer) -> None:
+        self.metrics.answered(answer.status, self.now() - call.taken)
         self._over(call)
         call.answer(answer)
 
@@ -398,6 +407,7 @@
         left = action.timeout_us or call.expires - now
         attempt = Attempt(call, len(call.attempts), action.endpoint, now, min(call.expires, now + left))
         call.attempts.append(attempt)
+        self.metrics.sent(attempt.copy)
         if attempt.copy >= self.settings.max_attempts or not self.may_start(attempt, now):
             self.ended(attempt, MOOT, None, b"")
             return
@@ -412,6 +422,7 @@
         if not call.open or not attempt.out or attempt.link is None:
             return False
         call.relayed, attempt.head_us = attempt, self.now() - attempt.sent
+        self.metrics.answered(answer.status, self.now() - call.taken)
         for timer in (call.timer, attempt.timer):
             if timer is not None:
                 timer.cancel()
@@ -435,6 +446,7 @@
             attempt.timer.cancel()
             attempt.timer = None
         call = attempt.call
+        self.metrics.ended(outcome, self.now() - attempt.sent)
         if outcome == OK and answer is not None and call.open:
             self._answer(call, answer)
         if call.relayed is attempt and call.open:
@@ -464,6 +476,7 @@
                 self.at(self.now() + delay_us, self._fired, token)
             case Refuse(request, after_us):
                 if (call := self._open_call(request)) is not None:
+                    self.metrics.refused()
                     after = b"Retry-After: %.3f\r\n" % (after_us / 1e6) if after_us > 0 else b""
                     self._answer(call, Answer(503, after))
             case Fail(request):
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -137,6 +137,7 @@
     work_us: int = 0
     repeated: bool = False
     id: int = 0
+    taken: int = 0  # on the driver's clock, µs
     open: bool = True  # no final answer yet, and its client is there
     attempts: list[Attempt] = field(default_factory=list)
     timer: TimerHandle | None = None
--- a/woadyard/ops/__init__.py
+++ b/woadyard/ops/__init__.py
@@ -1,1 +1,1 @@
-"""The operator's surface: the command line, structured logs and metrics."""
+"""What operators read of a process: structured logs and metrics."""
--- /dev/null
+++ b/woadyard/ops/metrics.py
@@ -0,0 +1,125 @@
+"""Counters and histograms of one sidecar, for `GET /_metrics` on the door.
+
+`Metrics` keeps them with `prometheus_client` in a registry of its own, so
+that several sidecars in one process (as in tests) count apart; `render` gives
+the Prometheus text format 0.0.4. `Quiet` takes the same calls and keeps
+nothing, for a process without a door, where nobody could read them.
+Times are in microseconds in the calls, seconds in the output.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from woadyard.interface import LIST_CACHED, LIST_DELTA, LIST_FAILED, LIST_FULL
+
+OUTCOMES = ("ok", "error", "full", "timeout", "no_connect", "reset", "cancelled", "moot")
+LISTS = {LIST_FULL: "full", LIST_FAILED: "failed", LIST_DELTA: "delta", LIST_CACHED: "cached"}
+# From a fast answer on loopback to the longest deadline of a class, in seconds.
+BUCKETS = (0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+US = 1e-6
+
+
+class Quiet:
+    """Takes every count and keeps none."""
+
+    def taken(self) -> None:
+        """A request taken from a caller."""
+
+    def answered(self, status: int, took_us: int) -> None:
+        """Its final answer, `took_us` after it was taken."""
+
+    def sent(self, copy: int) -> None:
+        """An attempt sent on; `copy` counts from 0, so above it is a retry."""
+
+    def ended(self, outcome: int, took_us: int) -> None:
+        """An attempt's outcome (`woadyard.interface.OK` and the others)."""
+
+    def refused(self) -> None:
+        """A request refused by admission, with no attempt."""
+
+    def malformed(self, status: int) -> None:
+        """A request turned down before it was taken, with a 4xx."""
+
+    def banned(self, out: bool) -> None:
+        """An endpoint taken out (True) or put back by an operator."""
+
+    def listed(self, mode: int, version: int) -> None:
+        """A list, or its failure, and the version it brings."""
+
+    def render(self) -> str:
+        return ""
+
+
+class Metrics(Quiet):
+    """The counts of one sidecar; every call takes a lock or two, no I/O."""
+
+    def __init__(self) -> None:
+        self.registry = registry = CollectorRegistry()
+        self.requests = Counter("woadyard_requests", "Requests taken from callers", registry=registry)
+        answers = Counter(
+            "woadyard_answers", "Final answers to callers, by status", ["status"], registry=registry
+        )
+        self.answers = answers.labels
+        self.by_status: dict[int, Any] = {}  # the children, as `labels` takes a lock to find them
+        self.request_seconds = Histogram(
+            "woadyard_request_seconds", "From a request taken to its final answer", buckets=BUCKETS,
+            registry=registry,
+        )  # fmt: skip
+        self.attempts = Counter("woadyard_attempts", "Attempts sent to endpoints", registry=registry)
+        self.retries = Counter("woadyard_retries", "Attempts beyond a request's first", registry=registry)
+        outcomes = Counter(
+            "woadyard_attempt_outcomes", "Attempts ended, by outcome", ["outcome"], registry=registry
+        )
+        self.outcomes = [outcomes.labels(name) for name in OUTCOMES]
+        self.attempt_seconds = Histogram(
+            "woadyard_attempt_seconds", "From an attempt sent to its outcome", buckets=BUCKETS,
+            registry=registry,
+        )  # fmt: skip
+        self.refusals = Counter("woadyard_refusals", "Requests refused by admission", registry=registry)
+        malformed = Counter(
+            "woadyard_malformed", "Requests turned down before they were taken", ["status"], registry=registry
+        )
+        self.malformed_by = malformed.labels
+        bans = Counter("woadyard_bans", "Endpoints taken out or put back", ["act"], registry=registry)
+        self.bans = bans.labels("detach"), bans.labels("attach")
+        lists = Counter("woadyard_lists", "Lists from discovery, by kind", ["kind"], registry=registry)
+        self.lists = {mode: lists.labels(name) for mode, name in LISTS.items()}
+        self.version = Gauge("woadyard_list_version", "Version of the list in force", registry=registry)
+
+    def taken(self) -> None:
+        self.requests.inc()
+
+    def answered(self, status: int, took_us: int) -> None:
+        if (child := self.by_status.get(status)) is None:
+            child = self.by_status[status] = self.answers(str(status))
+        child.inc()
+        self.request_seconds.observe(took_us * US)
+
+    def sent(self, copy: int) -> None:
+        self.attempts.inc()
+        if copy:
+            self.retries.inc()
+
+    def ended(self, outcome: int, took_us: int) -> None:
+        self.outcomes[outcome].inc()
+        self.attempt_seconds.observe(took_us * US)
+
+    def refused(self) -> None:
+        self.refusals.inc()
+
+    def malformed(self, status: int) -> None:
+        self.malformed_by(str(status)).inc()
+
+    def banned(self, out: bool) -> None:
+        self.bans[0 if out else 1].inc()
+
+    def listed(self, mode: int, version: int) -> None:
+        self.lists[mode].inc()
+        if mode != LIST_FAILED:
+            self.version.set(version)
+
+    def render(self) -> str:
+        return generate_latest(self.registry).decode()
