Serve the list over HTTP/1.1: versions, long polls, watches, leases

The sidecar loads none of it.

Measured (tests/test_registry.py, several processes): killed with SIGKILL under 50 watching discovery clients of the sidecar, restarted on its files: version 3 again, every watcher at version 4 after the next write, none went back a version or was given an empty list. A lease of 300 ms left the list while a renewed one stayed; with its log on /dev/full a write was 507 and reads went on.

--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,133 @@
+"""The list service as a process: killed under watchers, its leases, a full disk."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.process import Process, free_port
+from tests.sockets import read_message, run
+from woadyard.net.discovery import Discovery
+from woadyard.registry.service import PATH
+
+WATCHERS = 50
+FULL = Path("/dev/full")
+ENTRY = {"hostPort": "127.0.0.1:7070", "zone": "a", "machineType": "m2", "cell": 1, "lifecycle": "ready"}
+
+
+async def service(data: Path, port: int) -> Process:
+    """The service, once it listens."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "woadyard.registry", "--data", str(data), "--listen", f"127.0.0.1:{port}",
+        stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    assert process.stderr is not None
+    assert json.loads(await process.stderr.readline())["event"] == "listening"
+    return process
+
+
+async def ask(port: int, method: str, target: str, body: bytes = b"") -> tuple[int, Any]:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"{method} {target} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+    back = await read_message(reader)
+    writer.close()
+    status = int(back.start.split()[1])
+    return status, json.loads(back.body) if status == 200 else back.body.decode()
+
+
+async def register(port: int, name: str, ttl_ms: int = 60_000) -> tuple[int, Any]:
+    return await ask(port, "PUT", f"{PATH}/{name}?ttl_ms={ttl_ms}", json.dumps(ENTRY).encode())
+
+
+class Watcher:
+    """What one sidecar's discovery was told, in order."""
+
+    def __init__(self, port: int, seed: int, wanted: int) -> None:
+        self.told: list[tuple[int, bool, int]] = []  # version, whole, entries
+        self.names: set[str] = set()
+        self.wanted, self.reached = wanted, asyncio.Event()
+        loop = asyncio.get_running_loop()
+        self.discovery = Discovery(loop, f"127.0.0.1:{port}", PATH, True, self.listen, random.Random(seed))
+        self.discovery.watch(True)
+
+    def listen(self, version: int, whole: bool, entries: list[dict[str, Any]]) -> None:
+        self.told.append((version, whole, len(entries)))
+        if whole:
+            self.names = {one["instanceId"] for one in entries}
+        else:
+            self.names |= {one["instanceId"] for one in entries if one["lifecycle"] != "gone"}
+        if version >= self.wanted:
+            self.reached.set()
+
+
+def test_killed_under_watchers_it_comes_back_at_its_version_and_none_loses_its_list(tmp_path: Path) -> None:
+    async def main() -> None:
+        port = free_port()
+        process = await service(tmp_path, port)
+        for n in range(3):
+            assert (await register(port, f"s-{n}"))[0] == 200
+        watchers = [Watcher(port, seed, 3) for seed in range(WATCHERS)]
+        await asyncio.gather(*(one.reached.wait() for one in watchers))
+        process.send_signal(signal.SIGKILL)
+        await process.wait()
+        process = await service(tmp_path, port)
+        assert (await ask(port, "GET", PATH))[1]["generation"] == 3, "the version outlives kill -9"
+        assert (await register(port, "s-3"))[0] == 200
+        for one in watchers:
+            one.wanted, one.reached = 4, asyncio.Event()
+            if one.told[-1][0] >= 4:
+                one.reached.set()
+        await asyncio.gather(*(one.reached.wait() for one in watchers))
+        for one in watchers:
+            one.discovery.close()
+            versions = [version for version, _, _ in one.told]
+            assert versions == sorted(versions), "no watcher went back to an older version"
+            assert all(count > 0 for _, whole, count in one.told if whole), "no list came empty"
+            assert one.names == {"s-0", "s-1", "s-2", "s-3"}
+        process.send_signal(signal.SIGTERM)
+        await process.wait()
+
+    run(main())
+
+
+def test_a_lease_not_renewed_leaves_the_list_and_a_renewed_one_stays(tmp_path: Path) -> None:
+    async def main() -> None:
+        port = free_port()
+        process = await service(tmp_path, port)
+        await register(port, "kept", ttl_ms=600)
+        await register(port, "left", ttl_ms=300)
+        _, listing = await ask(port, "GET", f"{PATH}?index=2&wait=10")  # returns when "left" expires
+        assert listing["generation"] == 3
+        assert [one["instanceId"] for one in listing["instances"]] == ["kept"]
+        assert (await ask(port, "POST", f"{PATH}/kept/renew"))[0] == 200
+        assert (await ask(port, "POST", f"{PATH}/left/renew"))[0] == 400
+        process.send_signal(signal.SIGTERM)
+        await process.wait()
+
+    run(main())
+
+
+@pytest.mark.skipif(not FULL.exists(), reason="no /dev/full here")
+def test_a_disk_that_refuses_writes_refuses_them_and_reads_go_on(tmp_path: Path) -> None:
+    async def main() -> None:
+        port = free_port()
+        process = await service(tmp_path, port)
+        await register(port, "s-0")
+        log = tmp_path / "log"
+        log.unlink()
+        log.symlink_to(FULL)  # a disk with no room left: writes fail with ENOSPC
+        status, text = await register(port, "s-1")
+        assert status == 507 and text.startswith("can't write")
+        status, listing = await ask(port, "GET", PATH)
+        assert status == 200 and [one["instanceId"] for one in listing["instances"]] == ["s-0"]
+        process.send_signal(signal.SIGTERM)
+        await process.wait()
+
+    run(main())
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -178,6 +178,11 @@
     arguments = cli.parse(argv)
     if arguments.command == "check-config":
         return cli.check_config(arguments.file, arguments.in_force)
+    if arguments.command == "registry":
+        # Loaded only here: the sidecar carries none of the service.
+        from woadyard.registry.command import start
+
+        return start(arguments)
     limit = logs.setup()
     # What stands now stays: the collector need not walk it again.
     gc.set_threshold(50_000, 20, 50)
--- a/woadyard/cli.py
+++ b/woadyard/cli.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 
 from woadyard.net.config import ConfigError, read_again, read_config, read_file
+from woadyard.registry import add_arguments
 
 # What a command returns to the shell where the configuration has faults.
 FAULTY = 2
@@ -35,6 +36,12 @@
         metavar="FILE",
         help="the file a running process has in force: a reload must say all that it says",
     )
+    registry = commands.add_parser(
+        "registry",
+        help="run the list service",
+        description="The list service: versions, watches, leases, kept in a log with snapshots.",
+    )
+    add_arguments(registry)
     return top
 
 
--- a/woadyard/registry/__init__.py
+++ b/woadyard/registry/__init__.py
@@ -1,1 +1,15 @@
-"""The list service: endpoints with leases, a version per change, kept on disk."""
+"""The list service: endpoints with leases, a version per change, kept on disk.
+
+Only the command line's arguments live here, so that the sidecar's own command
+line names the service without loading it.
+"""
+
+from __future__ import annotations
+
+import argparse
+from pathlib import Path
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--listen", default="127.0.0.1:8500", help="HOST:PORT to listen on")
+    parser.add_argument("--data", required=True, type=Path, help="folder of its log and snapshot")
--- /dev/null
+++ b/woadyard/registry/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m woadyard.registry`: the list service."""
+
+import sys
+
+from woadyard.registry.command import main
+
+sys.exit(main())
