Back off discovery with full jitter, say an outage once, take no older list

Change: retries wait uniform(0, step); one log line when discovery is lost and one when it is back; after an address has told a list, an older version of it is not taken (a first list from a new address still is).

Measured: tests/test_registry.py's lagging replica: versions [5, 6] taken; before the change [5, 3, 6].

--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -13,7 +13,7 @@
 import pytest
 
 from tests.process import Process, free_port
-from tests.sockets import read_message, run
+from tests.sockets import Registry, push, read_message, run
 from woadyard.net.discovery import Discovery
 from woadyard.registry.service import PATH
 
@@ -131,3 +131,28 @@
         await process.wait()
 
     run(main())
+
+
+def test_a_replica_that_lags_moves_no_client_back(tmp_path: Path) -> None:
+    """The same address, as a replica behind a balancer that answers from one
+    that lags: its older whole list is not taken, the next newer one is."""
+
+    async def main() -> None:
+        stand_in = Registry()
+        async with await stand_in.start():
+            watcher = Watcher(stand_in.port, 1, 0)
+            _, feed = await stand_in.asked.get()
+            push(feed, 5, True, {**ENTRY, "instanceId": "s-0"}, {**ENTRY, "instanceId": "s-1"})
+            await watcher.reached.wait()
+            feed.close()  # cut off; the watch comes back to a replica that lags
+            start_line, feed = await stand_in.asked.get()
+            assert "from=5 " in start_line, "the watch resumes from the version held"
+            push(feed, 3, True, {**ENTRY, "instanceId": "s-0"})
+            push(feed, 6, False, {**ENTRY, "instanceId": "s-2"})
+            watcher.wanted, watcher.reached = 6, asyncio.Event()
+            await watcher.reached.wait()
+            watcher.discovery.close()
+        assert [version for version, _, _ in watcher.told] == [5, 6]
+        assert watcher.names == {"s-0", "s-1", "s-2"}
+
+    run(main())
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -19,6 +19,7 @@
 CONNECT_S = 2.0
 LINE_MAX = 16 * 1024 * 1024
 LOG = logging.getLogger(__name__)
+LOST = "discovery lost, the last list kept"
 
 # Takes one list (version, whether it is whole, entries); ValueError if it is bad.
 Listen = Callable[[int, bool, list[dict[str, Any]]], None]
@@ -106,6 +107,8 @@
         self.retry_s, self.silent_s = RETRY_S, SILENT_S
         self.tasks: set[asyncio.Task[None]] = set()
         self.moving = False  # to an address that has told nothing yet
+        self.trusting = True  # of a first list, whatever its version, from a new address
+        self.out = False  # discovery lost, and said so
         self.closed = False
 
     def move(self, address: str) -> None:
@@ -113,7 +116,7 @@
         there, and is asked for again until a first list has come."""
         if address == self.address:
             return
-        self.address, self.moving, self.retry_s = address, True, RETRY_S
+        self.address, self.moving, self.trusting, self.retry_s = address, True, True, RETRY_S
         if self.stream is not None:
             self.watch(True)
 
@@ -163,10 +166,16 @@
             raise ValueError(f"no list: {error!r}") from None
         if not isinstance(entries, list):
             raise ValueError("instances is no list")
-        if whole or version >= self.generation:
+        # Guards against a replica that lags: once an address has told a list,
+        # nothing older of it is taken. A first list may be older, as a new
+        # service counts anew.
+        if version >= self.generation or (whole and self.trusting):
             self.listen(version, whole, entries)
             self.generation = version
-        self.retry_s, self.moving = RETRY_S, False
+        self.retry_s, self.moving, self.trusting = RETRY_S, False, False
+        if self.out:
+            self.out = False
+            LOG.info("discovery reached again", extra={"at": self.address, "version": self.generation})
 
     def lost(self, stream: Stream) -> None:
         if self.closed:
@@ -174,8 +183,15 @@
         if not self.pushed and not self.moving:
             self.on_failed()  # the module says when to ask again
         elif stream is self.stream:
-            # Copies that lost their watches together must not ask together.
-            self.loop.call_later(self.retry_s * (0.5 + self.rng.random()), self._again, stream)
+            if not self.out:  # once an outage, not once a try
+                self.out = True
+                LOG.warning(
+                    "discovery lost, the last list kept",
+                    extra={"at": self.address, "version": self.generation},
+                )
+            # Full jitter: a fleet that lost its watches together comes back spread
+            # over the whole backoff, not in step at its middle.
+            self.loop.call_later(self.rng.uniform(0.0, self.retry_s), self._again, stream)
             self.retry_s = min(RETRY_MOST_S, 2.0 * self.retry_s)
 
     def _again(self, stream: Stream) -> None:
