--- /dev/null
+++ b/woadyard/registry/book.py
@@ -0,0 +1,32 @@
+"""What one part of the replicated log is: a book, a pure state machine.
+
+The log hosts several books. A record is a JSON object; its `book` names the one it is for
+(none: the list, as logs had it before there were books), `op` what to do, `at` the writer's
+time in µs. Records are applied in the log's order at the writer and at every replica, so a
+book that knows neither clock, files nor chance is the same everywhere.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+Record = Mapping[str, Any]
+
+
+class Book(Protocol):
+    """One state machine of the log. Each bounds its own size and says what it drops."""
+
+    name: str
+
+    def check(self, record: Record) -> None:
+        """Raises `RecordError` where `apply` would; changes nothing."""
+
+    def apply(self, record: Record) -> bool:
+        """Apply one record that `check` passed; True where readers see a change."""
+
+    def dump(self) -> Any:
+        """All of it as plain JSON values, for a snapshot."""
+
+    def load(self, raw: Any) -> None:
+        """Take a dump's place; `RecordError` where it is none, and nothing changed."""
