--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -39,6 +39,7 @@
 
 Reader = asyncio.StreamReader
 Writer = asyncio.StreamWriter
+LARGE = bytes(range(256)) * 4096  # 1 MiB
 TIMEOUT_S = 20.0  # for a test that hangs; nothing is measured by it
 
 
@@ -78,6 +79,11 @@
     uvloop.run(asyncio.wait_for(test, TIMEOUT_S))
 
 
+async def until(what: Callable[[], bool]) -> None:
+    while not what():
+        await asyncio.sleep(0)
+
+
 Handler = Callable[["Endpoint", Message, Writer], Awaitable[None]]
 
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -10,6 +10,7 @@
 import pytest
 
 from tests.sockets import (
+    LARGE,
     Endpoint,
     Message,
     Sidecar,
@@ -20,12 +21,11 @@
     request,
     run,
     sidecar,
+    until,
 )
 from woadyard.interface import NO_CONNECT
+from woadyard.net.caller import Caller
 from woadyard.net.message import HOLD_MAX, READ_SIZE
-from woadyard.net.server import Caller
-
-LARGE = bytes(range(256)) * 4096  # 1 MiB
 
 
 def chunks(data: bytes, size: int, extension: bytes = b"", trailer: bytes = b"") -> bytes:
@@ -51,11 +51,6 @@
     return handler  # type: ignore[return-value]
 
 
-async def until(what: Callable[[], bool]) -> None:
-    while not what():
-        await asyncio.sleep(0)
-
-
 # --- From callers ---------------------------------------------------------------------
 
 
@@ -172,15 +167,12 @@
     run(main())
 
 
-def test_a_body_that_gets_on_is_waited_for_and_one_that_does_not_is_refused(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr("woadyard.net.server.REQUEST_S", 0.05)
-    monkeypatch.setattr("woadyard.net.server.LOAD_S", 0.05)
-
+def test_a_body_that_gets_on_is_waited_for_and_one_that_does_not_is_refused() -> None:
     async def main() -> None:
         endpoint = Endpoint()
         async with sidecar(endpoint) as one:
+            one.server.waits.request_s = 0.05
+            one.server.waits.load_s = 0.05
             reader, writer = await one.connect()
             raw = request("pay", LARGE)
             writer.write(raw[:70_000])
@@ -190,23 +182,22 @@
                 before = caller.patience
                 await until(lambda before=before: caller.patience is not before)  # type: ignore[misc]
                 writer.write(raw[at : at + 40_000])
-                await until(lambda at=at: caller.size >= at - 20_000)  # type: ignore[misc]
+                await until(lambda at=at: caller.incoming.size >= at - 20_000)  # type: ignore[misc]
             assert (await read_message(reader)).start.split()[1] == "408"
             assert not one.driver.calls and not endpoint.got
 
     run(main())
 
 
-def test_an_endpoint_that_takes_no_more_of_a_body_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("woadyard.net.server.REQUEST_S", 0.05)
-    monkeypatch.setattr("woadyard.net.server.LOAD_S", 0.05)
-
+def test_an_endpoint_that_takes_no_more_of_a_body_is_given_up() -> None:
     async def main() -> None:
         class Frozen(Endpoint):
             async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
                 reader._transport.pause_reading()  # type: ignore[attr-defined]
 
         async with sidecar(Frozen()) as one:
+            one.server.waits.request_s = 0.05
+            one.server.waits.load_s = 0.05
             events = outcomes(one)
             reader, writer = await one.connect()
             writer.write(request("pay", LARGE * 40))
@@ -218,11 +209,10 @@
     run(main())
 
 
-def test_a_body_that_stops_after_its_answer_gets_no_second_one(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("woadyard.net.server.REQUEST_S", 0.05)
-
+def test_a_body_that_stops_after_its_answer_gets_no_second_one() -> None:
     async def main() -> None:
         async with sidecar(Endpoint(), known=False) as one:
+            one.server.waits.request_s = 0.05
             one.driver.balancer.banned[7] = None  # all endpoints are out: refused at once
             reader, writer = await one.connect()
             writer.write(request("pay", LARGE)[:70_000])
@@ -349,11 +339,7 @@
     run(main())
 
 
-def test_a_caller_that_never_reads_holds_up_the_endpoint_and_not_the_memory(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr("woadyard.net.server.RELAY_S", 0.2)
-
+def test_a_caller_that_never_reads_holds_up_the_endpoint_and_not_the_memory() -> None:
     async def main() -> None:
         async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
             writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % (64 * len(LARGE)))
@@ -363,6 +349,7 @@
 
         endpoint = Endpoint(reply)
         async with sidecar(endpoint) as one:
+            one.server.waits.relay_s = 0.2
             reader, writer = await one.connect()
             reader._transport.pause_reading()  # type: ignore[attr-defined]
             writer.write(request())
@@ -378,7 +365,7 @@
     run(main())
 
 
-def test_a_caller_that_asks_on_and_never_reads_is_served_no_more(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_caller_that_asks_on_and_never_reads_is_served_no_more() -> None:
     async def main() -> None:
         async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
             writer.write(answer(body=LARGE[:HOLD_MAX]))
@@ -397,7 +384,7 @@
             reader._transport.resume_reading()  # type: ignore[attr-defined]
             for _ in range(400):
                 assert len((await read_message(reader)).body) == HOLD_MAX
-            monkeypatch.setattr("woadyard.net.server.RELAY_S", 0.05)
+            one.server.waits.relay_s = 0.05
             reader._transport.pause_reading()  # type: ignore[attr-defined]
             for n in range(400, 800):
                 writer.write(request(rid=f"r{n}"))
--- a/tests/test_shrink.py
+++ b/tests/test_shrink.py
@@ -13,6 +13,7 @@
 from tests.sockets import Endpoint, read_message, request, run
 from tests.test_registry import ask, service
 from tests.test_replicas import end
+from woadyard.errors import PeerError
 from woadyard.membership.shrink import WITHIN_S, ShrinkGuard
 from woadyard.registry.service import PATH
 
@@ -84,7 +85,7 @@
 @pytest.mark.parametrize("bad", [{"instanceId": "s-1"}, 7, {"lifecycle": "ready", "instanceId": []}])
 def test_a_list_with_a_bad_entry_changes_nothing(bad: Any) -> None:
     held = Held(0.5)
-    with pytest.raises(ValueError):
+    with pytest.raises(PeerError):
         held.told(True, entry(1), bad)
     assert len(held.names) == 10 and held.told(False, entry(1, "gone")) == 9
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -52,12 +52,13 @@
     Entry,
     Refuse,
 )
+from woadyard.net.asked import key_of
+from woadyard.net.caller import Caller
 from woadyard.net.discovery import LOST
 from woadyard.net.driver import Driver
+from woadyard.net.link import Link
 from woadyard.net.message import Attempt, Call
-from woadyard.net.server import Caller, key_of
 from woadyard.net.state import endpoint_number
-from woadyard.net.upstream import Link
 
 
 def lists(one: Sidecar) -> asyncio.Queue[tuple[int, list[Entry]]]:
@@ -140,7 +141,7 @@
         endpoint = Endpoint()
         async with sidecar(endpoint) as one:
             wall = 1_700_000_000_000_000
-            one.driver.wall_us = lambda: wall
+            one.driver.listing.wall_us = lambda: wall
             started = endpoint.entry(startedAtMs=wall // 1000 - 4_000)
             before = Driver.now()
             one.told(started)
@@ -490,12 +491,12 @@
             (attempt,) = call.attempts
             place = one.driver.places[attempt.endpoint]
             now = one.driver.now()
-            assert one.driver.may_start(attempt, now)
-            assert not one.driver.may_start(attempt, call.expires)
+            assert one.driver.attempts.may_start(attempt, now)
+            assert not one.driver.attempts.may_start(attempt, call.expires)
             place.left_at = now - 499_000
-            assert one.driver.may_start(attempt, now)
+            assert one.driver.attempts.may_start(attempt, now)
             place.left_at = now - 500_000
-            assert not one.driver.may_start(attempt, now)
+            assert not one.driver.attempts.may_start(attempt, now)
             link = attempt.link
             assert isinstance(link, Link)
             link.write()  # as a connect that took so long would
@@ -509,7 +510,8 @@
     async def main() -> None:
         endpoints = [Endpoint(status(503, "X-Not-Run: 1\r\n")) for _ in range(4)]
         async with sidecar(*endpoints) as one:
-            one.driver.settings = replace(one.driver.settings, max_attempts=2)
+            force = one.driver.force
+            force.settings = replace(force.settings, max_attempts=2)
             told = outcomes(one)
             await one.ask(request("pay"))
             assert sum(len(endpoint.got) for endpoint in endpoints) == 2
@@ -524,7 +526,7 @@
             fired: asyncio.Queue[int] = asyncio.Queue()
             for delay in (1, 400, 1_499, 2_501, 7_777):
                 due = one.driver.now() + delay
-                one.driver.at(due, lambda due: fired.put_nowait(one.driver.now() - due), due)
+                one.driver.turns.at(due, lambda due: fired.put_nowait(one.driver.now() - due), due)
             for _ in range(5):
                 assert await fired.get() >= 0
 
@@ -772,7 +774,7 @@
             crowd[0][1].write(request(rid="taken"))
             assert (await read_message(crowd[0][0])).body == b"ok"
             one.server.resting.clear()  # as if it were being served
-            monkeypatch.setattr("woadyard.net.server.CROWD_S", 0.0)
+            one.server.waits.crowd_s = 0.0
             good, good_writer = await one.connect()
             good_writer.write(request(rid="good"))
             assert (await read_message(good)).body == b"ok"
@@ -814,10 +816,9 @@
 
 
 def test_a_caller_that_rests_long_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("woadyard.net.server.REST_S", 0.01, raising=False)
-
     async def main() -> None:
         async with sidecar(Endpoint()) as one:
+            one.server.waits.rest_s = 0.01
             for n in range(2):
                 reader, writer = await one.connect()
                 writer.write(request(rid=f"r{n}"))
@@ -850,7 +851,7 @@
             reader, writer = await one.connect()
             writer.write(request())
             await read_message(reader)
-            monkeypatch.setattr("woadyard.net.server.REQUEST_S", 0.01, raising=False)
+            one.server.waits.request_s = 0.01
             silent, _ = await one.connect()
             assert await silent.read() == b""
             (caller,) = one.server.callers
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -16,6 +16,7 @@
 import uvloop
 
 from woadyard import cli
+from woadyard.errors import PeerError
 from woadyard.membership.shrink import ShrinkGuard
 from woadyard.net.budget import Budget, Hooks
 from woadyard.net.config import (
@@ -31,9 +32,10 @@
 )
 from woadyard.net.console import DESCRIPTORS, CallError, Console, Route, Routes
 from woadyard.net.discovery import Discovery
-from woadyard.net.driver import Driver, Shared
+from woadyard.net.driver import Driver
 from woadyard.net.gossip import Gossip
 from woadyard.net.server import Server
+from woadyard.net.sharing import Shared
 from woadyard.net.state import LOOK_S, Seats
 from woadyard.net.upstream import Upstream
 from woadyard.ops import logs
@@ -85,7 +87,7 @@
         return f"done, out are: {' '.join(bans.banned) or 'none'}"
 
     def ready(body: str) -> str:
-        if not server.accepting or not may_serve():
+        if not server.accepting or server.shut_out or not may_serve():
             raise CallError(HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
         return "ready"
 
@@ -196,7 +198,7 @@
     seats = take_seat(config, loop, server.share)
     try:
         driver.start(config.known, seats is None or seats.alone)
-    except ValueError as error:
+    except PeerError as error:
         raise ConfigError(f"known: {error}") from None
     if config.known is not None:
         guard.prime(config.known["instances"])
--- a/woadyard/membership/__init__.py
+++ b/woadyard/membership/__init__.py
@@ -5,5 +5,5 @@
 from collections.abc import Callable
 from typing import Any
 
-# Takes one list (version, whether it is whole, entries); ValueError if it is bad.
+# Takes one list (version, whether it is whole, entries); PeerError if it is bad.
 Listen = Callable[[int, bool, list[dict[str, Any]]], None]
--- a/woadyard/membership/shrink.py
+++ b/woadyard/membership/shrink.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from woadyard.errors import PeerError
 from woadyard.membership import Listen
 
 # Leases that lapse together lapse within one lease, and a roll takes longer.
@@ -40,7 +41,7 @@
     with 1.0 or more it is off.
 
     Until a first whole list (or `prime`) it passes all on. Lists are checked by
-    `listen` before any of one counts here: ValueError leaves all as it was."""
+    `listen` before any of one counts here: PeerError leaves all as it was."""
 
     def __init__(self, most: float, listen: Listen, clock: Callable[[], float]) -> None:
         self.most, self.listen, self.clock = most, listen, clock
@@ -100,7 +101,7 @@
 
 
 def _merged(told: Entries, entries: list[dict[str, Any]]) -> Entries:
-    """What is told after these changes; ValueError where an entry is none."""
+    """What is told after these changes; PeerError where an entry is none."""
     merged = dict(told)
     try:
         for one in entries:
@@ -109,5 +110,5 @@
             else:
                 merged[one["instanceId"]] = one
     except (KeyError, TypeError) as error:
-        raise ValueError(f"no entry: {error!r}") from None
+        raise PeerError(f"no entry: {error!r}") from None
     return merged
--- /dev/null
+++ b/woadyard/net/attempts.py
@@ -0,0 +1,112 @@
+"""Attempts at endpoints, from the module's word to their one outcome."""
+
+from __future__ import annotations
+
+from woadyard.interface import CANCELLED, MOOT, OK, TIMEOUT, Outcome, Send
+from woadyard.net.message import Answer, Attempt
+from woadyard.net.names import InForce
+from woadyard.net.places import Places
+from woadyard.net.requests import Requests
+from woadyard.net.turns import Turns, now_us
+from woadyard.net.upstream import Upstream
+from woadyard.ops.metrics import Quiet
+
+
+class Attempts:
+    def __init__(
+        self,
+        turns: Turns,
+        requests: Requests,
+        places: Places,
+        force: InForce,
+        upstream: Upstream,
+        metrics: Quiet,
+    ) -> None:
+        self.turns, self.requests, self.places = turns, requests, places
+        self.force, self.upstream, self.metrics = force, upstream, metrics
+        requests.stop = self.stop
+        upstream.ended, upstream.may_start, upstream.relay = self.ended, self.may_start, self.relay
+
+    def may_start(self, attempt: Attempt, now: int) -> bool:
+        if not attempt.call.open or now >= attempt.until:
+            return False
+        return self.places.may_start(attempt.endpoint, now)
+
+    def send(self, action: Send) -> None:
+        now, call = now_us(), self.requests.calls.get(action.request)
+        if call is None:
+            return
+        left = action.timeout_us or call.expires - now
+        attempt = Attempt(call, len(call.attempts), action.endpoint, now, min(call.expires, now + left))
+        call.attempts.append(attempt)
+        self.metrics.sent(attempt.copy)
+        if (observer := self.turns.observer) is not None:
+            attempt.extra = observer.sent(now, action)
+        if self.force.locality is not None:
+            place = self.places.by_number.get(action.endpoint)
+            if place is not None:
+                self.metrics.zone(place.zone)
+        if attempt.copy >= self.force.settings.max_attempts or not self.may_start(attempt, now):
+            self.ended(attempt, MOOT, None, b"")
+            return
+        if attempt.until < call.expires:
+            attempt.timer = self.turns.at(attempt.until, self.stop, attempt, TIMEOUT)
+        self.upstream.send(attempt)
+
+    def cancel(self, request: int, copy: int) -> None:
+        if (call := self.requests.calls.get(request)) is not None:
+            self.stop(call.attempts[copy], CANCELLED)
+
+    def stop(self, attempt: Attempt, outcome: int) -> None:
+        """Wait for it no longer."""
+        if attempt.out:
+            self.upstream.cancel(attempt)
+            self.ended(attempt, outcome, None, b"")
+
+    def relay(self, attempt: Attempt, answer: Answer, length: int | None) -> bool:
+        """An answer too large to hold has begun: it is the caller's from now on,
+        and neither the attempt's time nor the caller's runs any longer."""
+        call = attempt.call
+        if not call.open or not attempt.out or attempt.link is None:
+            return False
+        call.relayed, attempt.head_us = attempt, now_us() - attempt.sent
+        self.requests.told(call, answer.status)
+        for timer in (call.timer, attempt.timer):
+            if timer is not None:
+                timer.cancel()
+        call.timer = attempt.timer = None
+        event = Outcome(call.id, attempt.copy, attempt.endpoint, OK, attempt.head_us)
+        self.turns.tell(self.turns.balancer.head, event, call=call)
+        call.relay.begin(answer, length, attempt.link)
+        return True
+
+    def ended(self, attempt: Attempt, outcome: int, answer: Answer | None, load: bytes) -> None:
+        """The one outcome of an attempt."""
+        if not attempt.out:
+            return
+        attempt.out = False
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+            attempt.timer = None
+        call = attempt.call
+        self.metrics.ended(outcome, now_us() - attempt.sent)
+        if outcome == OK and answer is not None and call.open:
+            self.requests.answer(call, answer)
+        if call.relayed is attempt and call.open:
+            self.requests.over(call)
+            call.relay.end(outcome == OK)
+        now, over = now_us(), not call.open
+        event = Outcome(
+            call.id,
+            attempt.copy,
+            attempt.endpoint,
+            outcome,
+            attempt.head_us or now - attempt.sent,
+            over,
+            self.force.names.report(load),
+            call.upload is not None and call.upload.spent,
+        )
+        if (observer := self.turns.observer) is not None:
+            observer.ended(now, event)
+        self.turns.tell(self.turns.balancer.outcome, event, call=call)
+        self.requests.drop(call)
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from woadyard.errors import PeerError
 from woadyard.membership import Listen
 from woadyard.net.backoff import Backoff
 
@@ -57,7 +58,7 @@
         try:
             self.parser.feed_data(data)
             self._read()
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, PeerError) as error:
             LOG.warning("bad line from discovery", extra={"error": str(error), "at": self.owner.address})
             self.fail()
 
@@ -81,7 +82,7 @@
                 elif not self.watch:
                     self.stop()
         if len(self.buffer) > LINE_MAX:
-            raise ValueError("a line without an end")
+            raise PeerError("a line without an end")
 
     def stop(self) -> None:
         self.done = True
@@ -182,15 +183,15 @@
             stream.fail()
 
     def line(self, raw: bytes) -> bool:
-        """One list; ValueError on anything else, before any of it is used. False
+        """One list; PeerError on anything else, before any of it is used. False
         where the replica may be behind: another one is to be asked."""
-        told = json.loads(raw)
         try:
+            told = json.loads(raw)
             version, whole, entries = int(told["generation"]), bool(told["reset"]), told["instances"]
-        except (KeyError, TypeError, OverflowError) as error:
-            raise ValueError(f"no list: {error!r}") from None
+        except (KeyError, TypeError, ValueError, OverflowError, RecursionError) as error:
+            raise PeerError(f"no list: {error!r}") from None
         if not isinstance(entries, list):
-            raise ValueError("instances is no list")
+            raise PeerError("instances is no list")
         # Guards against a replica that lags: once an address has told a list,
         # nothing older of it is taken. A first list may be older, as a new
         # service counts anew.
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -78,8 +78,9 @@
 
 
 class Relay(Protocol):
-    """A caller, while an answer too large to hold is passed on to it."""
+    """A caller: it gets one whole answer, or one too large to hold, passed on as it comes."""
 
+    def answer(self, answer: Answer) -> None: ...
     def begin(self, answer: Answer, length: int | None, source: Carrier) -> None: ...
     def part(self, data: bytes) -> None: ...
     def end(self, whole: bool) -> None: ...
@@ -132,7 +133,6 @@
     start: bytes  # method and target as they came
     head: bytes  # header lines to pass on
     body: bytes
-    answer: Callable[[Answer], None]
     relay: Relay
     wait_us: int  # from the last byte on
     upload: Upload | None = None
@@ -150,7 +150,7 @@
 
 
 class Attempt:
-    __slots__ = ("call", "copy", "endpoint", "head_us", "link", "out", "sent", "timer", "until")
+    __slots__ = ("call", "copy", "endpoint", "extra", "head_us", "link", "out", "sent", "timer", "until")
 
     def __init__(self, call: Call, copy: int, endpoint: int, now: int, until: int) -> None:
         self.call = call
@@ -159,6 +159,7 @@
         self.sent = now
         self.until = until  # when the sidecar stops waiting
         self.out = True  # no outcome yet
+        self.extra = b""  # header lines of this attempt alone
         self.head_us = 0  # until its answer began to be passed on
         self.link: Carrier | None = None
         self.timer: TimerHandle | None = None
--- /dev/null
+++ b/woadyard/net/names.py
@@ -0,0 +1,88 @@
+"""Numbers of the names that travel on the sockets, and the settings in force."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from math import nan
+from typing import Any
+
+from woadyard.interface import (
+    BUSY,
+    ERROR_RATE,
+    HELD,
+    KEYED,
+    LATENCY_MS,
+    SERVED_RATE,
+    WAITING,
+    Locality,
+    RequestClass,
+    Settings,
+)
+
+# Load-report names on the socket; those of the settings may differ.
+REPORT_NAMES = {
+    "inflight": HELD,
+    "queue": WAITING,
+    "util": BUSY,
+    "latency_ms": LATENCY_MS,
+    "qps": SERVED_RATE,
+    "eps": ERROR_RATE,
+}
+
+
+class Names:
+    """Numbers of the names that travel on the sockets."""
+
+    def __init__(self, raw: dict[str, Any], settings: Settings, classes: dict[str, int]) -> None:
+        self.classes = classes  # those in force; calls under way may be of others
+        self.tenants = {str(entry["name"]): n for n, entry in enumerate(raw.get("accounts", ()))}
+        self.zones = {str(name): n for n, name in enumerate(raw.get("zones", ()))}
+        self.kinds = {str(name): n for n, name in enumerate(raw.get("kinds", ()))}
+        self.keyed = [cls.effect == KEYED for cls in settings.classes]
+        self.fields = {name: at for at, name in enumerate(settings.report_fields)}
+
+    def report(self, raw: bytes) -> list[float] | None:
+        """A load report in the settings' order; what can't be read is left out."""
+        if not raw or not self.fields:
+            return None
+        values = [nan] * len(self.fields)
+        for part in raw.split(b","):
+            name, _, value = part.decode("latin-1").strip().partition("=")
+            at = self.fields.get(REPORT_NAMES.get(name, name))
+            if at is not None:
+                try:
+                    values[at] = float(value)
+                except ValueError:
+                    continue
+        return values
+
+
+class InForce:
+    """The settings in force; `settle` puts others in their place, whole."""
+
+    settings: Settings
+    names: Names
+    drain_grace_us: int
+    locality: Locality | None
+
+    def __init__(self, shares_verdicts: bool) -> None:
+        self.shares_verdicts = shares_verdicts
+        self.numbers: dict[tuple[str, RequestClass], int] = {}  # of each class there ever was
+
+    def settle(self, raw: dict[str, Any], read: Settings, locality: Locality | None) -> None:
+        """A class keeps its number while it stays as it is; a changed one is a new
+        one, so that calls under way keep theirs."""
+        named = [(str(entry["name"]), cls) for entry, cls in zip(raw["classes"], read.classes, strict=True)]
+        for one in named:
+            self.numbers.setdefault(one, len(self.numbers))
+        force = {name: self.numbers[name, cls] for name, cls in named}
+        self.settings = replace(
+            read,
+            classes=tuple(cls for _, cls in self.numbers),
+            retired=frozenset(self.numbers.values()) - frozenset(force.values()),
+            shares_verdicts=self.shares_verdicts,
+            locality=locality,
+        )
+        self.locality = locality
+        self.names = Names(raw, self.settings, force)
+        self.drain_grace_us = int(raw.get("invariants", {}).get("drain-grace-us", 0))
--- a/woadyard/net/observe.py
+++ b/woadyard/net/observe.py
@@ -32,3 +32,37 @@
 
     def retuned(self, now: int, settings: Settings, raw: dict[str, Any]) -> None:
         """Settings were put in force (first at the start)."""
+
+
+class Observers:
+    """Several as one, told in their order."""
+
+    def __init__(self, *all_: Observer) -> None:
+        self.all = all_
+
+    def taken(self, now: int, event: Arrival) -> None:
+        for one in self.all:
+            one.taken(now, event)
+
+    def sent(self, now: int, action: Send) -> bytes:
+        return b"".join([one.sent(now, action) for one in self.all])
+
+    def ended(self, now: int, event: Outcome) -> None:
+        for one in self.all:
+            one.ended(now, event)
+
+    def answered(self, now: int, request: int, status: int) -> None:
+        for one in self.all:
+            one.answered(now, request, status)
+
+    def refused(self, now: int, request: int) -> None:
+        for one in self.all:
+            one.refused(now, request)
+
+    def listed(self, now: int, mode: int, version: int, raw: list[dict[str, Any]]) -> None:
+        for one in self.all:
+            one.listed(now, mode, version, raw)
+
+    def retuned(self, now: int, settings: Settings, raw: dict[str, Any]) -> None:
+        for one in self.all:
+            one.retuned(now, settings, raw)
--- /dev/null
+++ b/woadyard/net/places.py
@@ -0,0 +1,141 @@
+"""The listed endpoints: what the shell keeps of each, and what a list changes."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from woadyard.errors import PeerError
+from woadyard.interface import DRAINING, GONE, READY, Entry
+from woadyard.net.names import InForce
+from woadyard.net.state import Bans, endpoint_number
+from woadyard.net.turns import now_us
+from woadyard.net.upstream import Upstream
+
+PHASES = {"ready": READY, "draining": DRAINING, "gone": GONE}
+# So many endpoints told away are remembered, the latest: no list is that old.
+LEFT_MOST = 4096
+
+
+class Place:
+    """What the shell keeps of one listed endpoint."""
+
+    __slots__ = ("address", "boot", "left_at", "started_ms", "zone")
+
+    def __init__(self, address: str, started_ms: int, boot: int, zone: str) -> None:
+        self.address, self.started_ms, self.boot, self.zone = address, started_ms, boot, zone
+        self.left_at: int | None = None  # told draining or gone
+
+
+Read = list[tuple[Entry, Place]]
+
+
+class Places:
+    """By endpoint number; pools of connections are opened and closed as lists say."""
+
+    def __init__(self, upstream: Upstream, bans: Bans, force: InForce) -> None:
+        self.upstream, self.bans, self.force = upstream, bans, force
+        self.wall_us: Callable[[], int] = lambda: time.time_ns() // 1000
+        self.by_number: dict[int, Place] = {}
+        self.left: dict[int, tuple[int, int]] = {}  # told away: by which version, and its start
+
+    def read(self, version: int, raw: list[dict[str, Any]]) -> Read:
+        """The list's entries that are not outdated; PeerError before any is used."""
+        try:
+            read = [self._entry(one) for one in raw]
+        except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
+            raise PeerError(f"no entry: {error!r}") from None
+        self.bans.note(one["instanceId"] for one in raw)
+        return [one for one in read if not self._outdated(version, *one)]
+
+    def apply(self, version: int, whole: bool, read: Read) -> None:
+        now = now_us()
+        # Guards memory where endpoints come and go: past the grace nothing may start there.
+        left = [(n, one.left_at) for n, one in self.by_number.items() if one.left_at is not None]
+        for number, left_at in left:
+            if now >= left_at + self.force.drain_grace_us:
+                del self.by_number[number]
+        if whole:  # it replaces: what it leaves out is gone
+            named = {entry.endpoint for entry, _ in read}
+            for number, place in self.by_number.items():
+                if number not in named:
+                    self._leave(now, version, number, place)
+        for entry, place in read:
+            self._place(now, version, entry, place)
+
+    def ready(self) -> set[int]:
+        return {number for number, place in self.by_number.items() if place.left_at is None}
+
+    def may_start(self, endpoint: int, now: int) -> bool:
+        """Whether anything may be sent there now: it is listed, or left within the grace."""
+        place = self.by_number.get(endpoint)
+        if place is None or endpoint in self.bans.out:
+            return False
+        return place.left_at is None or now < place.left_at + self.force.drain_grace_us
+
+    def reopen(self, number: int) -> None:
+        """An operator put it back."""
+        if (place := self.by_number.get(number)) is not None and place.left_at is None:
+            self._open(number, place)
+
+    def _entry(self, raw: dict[str, Any]) -> tuple[Entry, Place]:
+        number = endpoint_number(raw["instanceId"])
+        phase = PHASES[raw["lifecycle"]]
+        address, started_ms = str(raw.get("hostPort", "")), int(raw.get("startedAtMs", 0))
+        if phase == READY:
+            host, _, port = address.rpartition(":")
+            if not host or not 0 < int(port) < 65536:
+                raise PeerError(f"no address: {address}")
+        old = self.by_number.get(number)
+        # Converted once: a clock that is set must not feign a restart.
+        same = old is not None and old.started_ms == started_ms
+        boot = old.boot if old is not None and same else self._boot(started_ms)
+        names = self.force.names
+        entry = Entry(
+            endpoint=number,
+            phase=phase,
+            boot=boot,
+            rating=float(raw.get("weight", 1.0)),
+            cell=int(raw.get("cell", 0)),
+            zone=names.zones.get(raw.get("zone", ""), 0),
+            kind=names.kinds.get(raw.get("machineType", ""), 0),
+        )
+        return entry, Place(address, started_ms, boot, str(raw.get("zone", "")))
+
+    def _boot(self, started_ms: int) -> int:
+        """Wall time of a start on the module's clock, which is monotonic."""
+        if started_ms <= 0:
+            return 0
+        boot = now_us() - (self.wall_us() - started_ms * 1000)
+        return boot or 1  # 0 would mean long ago
+
+    def _outdated(self, version: int, entry: Entry, place: Place) -> bool:
+        """Guards drains: a list older than the one that told a process away does
+        not bring it back."""
+        told_by, started_ms = self.left.get(entry.endpoint, (version, 0))
+        return entry.phase == READY and version < told_by and place.started_ms <= started_ms
+
+    def _place(self, now: int, version: int, entry: Entry, place: Place) -> None:
+        number, old = entry.endpoint, self.by_number.get(entry.endpoint)
+        if entry.phase != READY:
+            self._leave(now, version, number, old or place)
+            return
+        self.left.pop(number, None)
+        self.by_number[number] = place
+        same = old is not None and old.left_at is None
+        if old is None or not same or (old.address, old.started_ms) != (place.address, place.started_ms):
+            self._open(number, place)
+
+    def _open(self, number: int, place: Place) -> None:
+        if number not in self.bans.out:
+            host, _, port = place.address.rpartition(":")
+            self.upstream.place(number, host, int(port))
+
+    def _leave(self, now: int, version: int, number: int, place: Place) -> None:
+        self.left[number] = max(version, self.left.get(number, (0, 0))[0]), place.started_ms
+        if len(self.left) > LEFT_MOST:
+            del self.left[next(iter(self.left))]
+        if place.left_at is None:
+            place.left_at = now
+            self.upstream.remove(number)
--- /dev/null
+++ b/woadyard/net/requests.py
@@ -0,0 +1,116 @@
+"""Callers' requests, from their arrival to the final answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from woadyard.interface import CANCELLED, NO_CONNECT, TIMEOUT, Arrival
+from woadyard.net.message import Answer, Attempt, Call
+from woadyard.net.sharing import Shared
+from woadyard.net.turns import Turns, now_us
+from woadyard.ops.metrics import Quiet
+
+
+class Requests:
+    """Those taken and not yet forgotten, by number."""
+
+    def __init__(self, turns: Turns, metrics: Quiet, shared: Shared | None) -> None:
+        self.turns, self.metrics, self.shared = turns, metrics, shared
+        self.calls: dict[int, Call] = {}
+        self.next_id = 0
+        self.stop: Callable[[Attempt, int], None] = lambda attempt, outcome: None  # with this outcome
+
+    def take(self, call: Call) -> None:
+        self.next_id += 1
+        call.id, call.taken = self.next_id, now_us()
+        self.metrics.taken()
+        self.calls[call.id] = call
+        loading = call.upload is not None and not call.upload.whole
+        if not loading:
+            call.timer = self.turns.at(call.expires, self._expire, call)
+        home = self.shared.affinity.home(call.affinity) if self.shared and call.affinity else None
+        event = Arrival(
+            call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated, home, loading
+        )
+        if (observer := self.turns.observer) is not None:
+            observer.taken(call.taken, event)
+        self.turns.tell(self.turns.balancer.request, event, call=call)
+
+    def whole(self, call: Call, expires: int) -> None:
+        """The last byte of a body that was passed on as it came: time runs from now."""
+        if not call.open:
+            return
+        call.expires = expires
+        if call.relayed is None:
+            call.timer = self.turns.at(expires, self._expire, call)
+        for attempt in call.attempts:
+            attempt.until = min(attempt.until, expires)
+        self.turns.tell(self.turns.balancer.whole, call.id, expires, call=call)
+
+    def stuck(self, call: Call) -> None:
+        """The endpoint takes no more of a body: it can't have run what it has not."""
+        for attempt in call.attempts:
+            self.stop(attempt, NO_CONNECT)
+
+    def gone(self, call: Call) -> None:
+        """The client closed its connection."""
+        if not call.open:
+            return
+        if (observer := self.turns.observer) is not None and call.relayed is None:
+            observer.answered(now_us(), call.id, 0)
+        self.over(call)
+        self.turns.tell(self.turns.balancer.gone, call.id)
+        if call.relayed is not None:
+            self.stop(call.relayed, CANCELLED)
+
+    def _expire(self, call: Call) -> None:
+        """The client's deadline: what is out timed out, and the module answers."""
+        for attempt in call.attempts:
+            self.stop(attempt, TIMEOUT)
+        if call.open:  # guards the caller should the module have held it to the end
+            self.answer(call, Answer(504))
+            self.turns.tell(self.turns.balancer.gone, call.id)
+
+    def refuse(self, request: int, after_us: int) -> None:
+        """The module's word; `after_us` above 0 is told to the caller."""
+        if (call := self.open_call(request)) is None:
+            return
+        self.metrics.refused()
+        if (observer := self.turns.observer) is not None:
+            observer.refused(now_us(), request)
+        after = b"Retry-After: %.3f\r\n" % (after_us / 1e6) if after_us > 0 else b""
+        self.answer(call, Answer(503, after))
+
+    def fail(self, request: int) -> None:
+        if (call := self.open_call(request)) is not None:
+            self.answer(call, Answer(504 if now_us() >= call.expires else 502))
+
+    def answer(self, call: Call, answer: Answer) -> None:
+        self.told(call, answer.status)
+        self.over(call)
+        call.relay.answer(answer)
+
+    def told(self, call: Call, status: int) -> None:
+        """Its final answer is known."""
+        now = now_us()
+        self.metrics.answered(status, now - call.taken)
+        if (observer := self.turns.observer) is not None:
+            observer.answered(now, call.id, status)
+
+    def over(self, call: Call) -> None:
+        call.open = False
+        if call.timer is not None:
+            call.timer.cancel()
+            call.timer = None
+        self.drop(call)
+
+    def drop(self, call: Call) -> None:
+        """Forget it once nothing of it is left."""
+        if not call.open and not any(attempt.out for attempt in call.attempts):
+            self.calls.pop(call.id, None)
+            # They name each other: without this only the collector would free them.
+            call.attempts.clear()
+
+    def open_call(self, request: int) -> Call | None:
+        call = self.calls.get(request)
+        return call if call is not None and call.open else None
--- /dev/null
+++ b/woadyard/net/sharing.py
@@ -0,0 +1,57 @@
+"""What lowers endpoints' weight from outside: others' verdicts, and a plan's weights."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+
+from woadyard.net.state import endpoint_number
+from woadyard.ops.metrics import Quiet
+from woadyard.shared.affinity import Affinity
+from woadyard.shared.store import Entry
+from woadyard.shared.verdicts import TRUST_ONE, trusts
+
+LOG = logging.getLogger(__name__)
+
+
+class Shared:
+    """What the driver keeps of the state shared with other sidecars."""
+
+    def __init__(self, name: str, eject_share: float) -> None:
+        self.name, self.eject_share = name, eject_share
+        self.publish: Callable[[int, str | None], None] = lambda endpoint, state: None
+        self.entries: list[Entry] = []
+        self.factors: dict[int, float] = {}
+        self.affinity = Affinity()
+        self.relimit: Callable[[], None] = lambda: None  # tells the caps anew
+
+    def judge(self, ready: set[int], metrics: Quiet) -> dict[int, float]:
+        """Factors below 1 that the other sidecars' verdicts leave, by endpoint."""
+        factors = trusts(self.entries, self.name, ready, self.eject_share)
+        if factors != self.factors:
+            self.factors = factors
+            metrics.lowered(len(factors))
+            LOG.info("others' verdicts", extra={"lowered": len(factors), "of": len(ready)})
+        # A key stays at its home on one sidecar's word; two move it, at all alike.
+        self.affinity.settle(number for number in ready if factors.get(number, 1.0) >= TRUST_ONE)
+        return factors
+
+
+class Trust:
+    """One factor for each endpoint, from all that has a say."""
+
+    def __init__(self, shared: Shared | None, metrics: Quiet) -> None:
+        self.shared, self.metrics = shared, metrics
+        self.planned: dict[int, float] = {}  # below 1, by endpoint number
+
+    def plan(self, factors: Mapping[str, float]) -> None:
+        """A plan's weights by instance id, each above 0 and up to 1; who is not named has 1."""
+        self.planned = {endpoint_number(name): factor for name, factor in factors.items() if factor < 1.0}
+
+    def factors(self, ready: set[int]) -> dict[int, float]:
+        """Below 1, by endpoint number."""
+        factors = {} if self.shared is None else self.shared.judge(ready, self.metrics)
+        if not self.planned:
+            return factors
+        both = self.planned.keys() | factors.keys()
+        return {number: self.planned.get(number, 1.0) * factors.get(number, 1.0) for number in both}
--- /dev/null
+++ b/woadyard/net/turns.py
@@ -0,0 +1,86 @@
+"""One `Balancer` in real time: its clock, its timers, and its events in their order.
+
+What happens is told to the module as one event at a time, and the actions that
+come back are carried out in their order; events that an action brings about
+wait until the present one is done.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from math import ceil
+from typing import Any
+
+from woadyard.interface import Action
+from woadyard.net.message import Call
+from woadyard.net.observe import Observer
+from woadyard.policy import Balancer
+
+LOG = logging.getLogger(__name__)
+Event = Callable[..., list[Action]]
+
+
+def now_us() -> int:
+    """The clock of the driver and of the module, µs."""
+    return time.monotonic_ns() // 1000
+
+
+class Turns:
+    """`act` carries out an action; `failed` is told whose event the module had a fault over."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        balancer: Balancer,
+        act: Callable[[Action], None],
+        failed: Callable[[Call], None],
+    ) -> None:
+        self.loop, self.balancer = loop, balancer
+        self.act, self.failed = act, failed
+        self.observer: Observer | None = None
+        self.todo: deque[tuple[Event, tuple[Any, ...], Call | None]] = deque()
+        self.busy = False
+
+    def at(self, due: int, call: Callable[..., None], *args: Any) -> asyncio.TimerHandle:
+        """Call no sooner than due: loops round delays, so the time is checked."""
+        delay = ceil(max(0, due - now_us()) / 1000) / 1000
+        return self.loop.call_later(delay, self._due, due, call, args)
+
+    def _due(self, due: int, call: Callable[..., None], args: tuple[Any, ...]) -> None:
+        if now_us() < due:
+            self.at(due, call, *args)
+        else:
+            call(*args)
+
+    def fire(self, delay_us: int, token: int) -> None:
+        """The module's timer."""
+        self.at(now_us() + delay_us, self._fired, token)
+
+    def _fired(self, token: int) -> None:
+        self.tell(self.balancer.timer, token)
+
+    def tell(self, event: Event, *args: Any, call: Call | None = None) -> None:
+        self.todo.append((event, args, call))
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.todo:
+                self._step(*self.todo.popleft())
+        finally:
+            self.busy = False
+
+    def _step(self, event: Event, args: tuple[Any, ...], call: Call | None) -> None:
+        try:
+            for action in event(now_us(), *args):
+                self.act(action)
+        except Exception:
+            # Guards the process and its callers against a fault of the module.
+            LOG.exception("fault in the module")
+            self.balancer.out.clear()
+            if call is not None and call.open:
+                self.failed(call)
