Host several books on the list service's log, with terms and a running hash

The log knew one state machine, the list, with the limits' ledger inside it. Audit, plans and experiments need logs of their own kind on the same replicas, and a writer that has been replaced has to be kept from writing on.

- registry/host.py holds books by name (registry/book.py), routes records to them, and carries lineage, term and a running hash of every record.
A new book is one line in registry/books.py and, for its calls, one in registry/routes.py.
- `lead` begins a term above all heard of; records of another term are refused.
A follower proves by the running hash that its log is a part of the writer's, else it takes the state whole and says how many records from which index, and which entries, it threw away.
- The HTTP side is aiohttp's in place of own parsing; bodies and queries are msgspec structs; every refusal is {"error", "remedy"}, with the writer's address where it is another process.
Connections may stay open.

--- a/benchmarks/discovery_watch.py
+++ b/benchmarks/discovery_watch.py
@@ -28,8 +28,8 @@
 from tests.sockets import Reader, Writer
 from tests.test_registry import ask, register, service
 from tests.test_replicas import caught_up, end, replica, until
+from woadyard.lists.service import PATH
 from woadyard.net.discovery import Discovery
-from woadyard.registry.service import PATH
 
 WATCHERS, WRITES, QUIET_S, OUTAGE_S, BIN_S = 200, 50, 20.0, 5.0, 0.01
 
--- a/tests/test_shrink.py
+++ b/tests/test_shrink.py
@@ -13,8 +13,8 @@
 from tests.sockets import Endpoint, read_message, request, run
 from tests.test_registry import ask, service
 from tests.test_replicas import end
+from woadyard.lists.service import PATH
 from woadyard.membership.shrink import WITHIN_S, ShrinkGuard
-from woadyard.registry.service import PATH
 
 
 def entry(n: int, lifecycle: str = "ready") -> dict[str, Any]:
--- /dev/null
+++ b/woadyard/lists/service.py
@@ -0,0 +1,137 @@
+"""The calls that read and write the list.
+
+- `GET /registry/instances`: the whole list, `{"generation", "reset", "instances"}`, with
+  the `lineage` and `term` that the generation is of.
+- `GET /registry/instances?index=N&wait=S`: the same, once the version is past N
+  or S seconds (at most `WAIT_MOST_S`) have gone: a long poll.
+- `GET /registry/instances?watch=1&from=N&term=T&lineage=L`: the protocol's watch, a
+  chunked answer with a line for each change (a whole list first where N of term T is no
+  part of this list's history, or too old) and an empty line every `BEAT_S` while
+  nothing changes.
+- `PUT /registry/instances/ID?ttl_ms=T`: register or replace the entry (the body)
+  with a lease of T ms; `POST /registry/instances/ID/renew`; `DELETE .../ID`.
+
+A replica sends writers on to its writer (307). One out of touch with it, or a writer that
+lost its place, says `"following": false` in what it tells and ends its watches, so that
+clients that have another replica turn to that; who has none goes on with this list.
+A write the disk refuses is answered 507 and changes nothing; reads go on.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from woadyard.lists.book import DROP, PUT, RENEW, ListBook
+from woadyard.registry.answers import answer, at_writer, body, query
+from woadyard.registry.book import Record
+from woadyard.registry.service import Registry
+
+PATH = "/registry/instances"
+BEAT_S, WAIT_MOST_S = 2.0, 60.0
+
+
+class ListQuery(msgspec.Struct, rename={"since": "from"}):
+    watch: int = 0
+    since: int = 0
+    term: int = 0
+    lineage: str = ""
+    index: int | None = None
+    wait: float = 0.0
+
+
+class PutQuery(msgspec.Struct):
+    ttl_ms: int
+
+
+class Written(msgspec.Struct):
+    generation: int
+    term: int
+    lineage: str
+
+
+class Lists:
+    """The handlers of the calls, on one registry."""
+
+    def __init__(self, registry: Registry) -> None:
+        self.registry = registry
+        registry.counts.version.set_function(lambda: self.book.version)
+
+    @property
+    def book(self) -> ListBook:
+        return self.registry.book(ListBook)
+
+    def _told(self, found: dict[str, Any]) -> dict[str, Any]:
+        """With the log's lineage, and `following` where it may be old."""
+        found = {**found, "lineage": self.registry.host.lineage}
+        return {**found, "following": False} if self.registry.behind else found
+
+    async def read(self, request: web.Request) -> web.StreamResponse:
+        asked, counts = query(request, ListQuery), self.registry.counts
+        kind = "watch" if asked.watch else "list" if asked.index is None else "poll"
+        counts.reads.labels(kind).inc()
+        if kind == "list":
+            return answer(self._told(self.book.listing()))
+        with counts.watches.track_inprogress():
+            if kind == "watch":
+                return await self.watch(request, asked)
+            await self._changed_past(asked.index or 0, asked.wait)
+        return answer(self._told(self.book.listing()))
+
+    async def _changed_past(self, version: int, wait_s: float) -> None:
+        wait_s, behind = min(WAIT_MOST_S, max(0.0, wait_s)), self.registry.behind
+        await self.registry.waiters.until(
+            ListBook.name,
+            lambda: self.book.version > version or self.registry.behind != behind,
+            wait_s,
+        )
+
+    async def watch(self, request: web.Request, asked: ListQuery) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Type": "application/json"})
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        at = (asked.term, asked.since) if asked.lineage == self.registry.host.lineage else (-1, asked.since)
+        while True:
+            book, behind = self.book, self.registry.behind
+            told = book.changes_since(*at)
+            at = book.term, book.version
+            if told["instances"] or told["reset"] or behind:
+                line = msgspec.json.encode(self._told(told)) + b"\n"
+            else:
+                line = b"\n"
+            # Waits where the peer does not read: it is then told the sum of what changed,
+            # and none of it is held for it.
+            await response.write(line)
+            if behind:
+                return response
+            if (self.book.term, self.book.version) == at and not self.registry.behind:
+                await self.registry.waiters.woken(ListBook.name, BEAT_S)
+
+    async def put(self, request: web.Request) -> web.StreamResponse:
+        ttl_ms = query(request, PutQuery).ttl_ms
+        entry = await body(request, dict[str, Any])
+        name = request.match_info["name"]
+        return self._write({"op": PUT, "entry": {**entry, "instanceId": name}, "ttl_us": ttl_ms * 1000})
+
+    async def renew(self, request: web.Request) -> web.StreamResponse:
+        return self._write({"op": RENEW, "id": request.match_info["name"]})
+
+    async def drop(self, request: web.Request) -> web.StreamResponse:
+        return self._write({"op": DROP, "id": request.match_info["name"]})
+
+    def _write(self, record: Record) -> web.StreamResponse:
+        self.registry.commit(record)
+        return answer(Written(self.book.version, self.book.term, self.registry.host.lineage))
+
+
+def routes(registry: Registry) -> list[web.RouteDef]:
+    calls = Lists(registry)
+    one = PATH + "/{name}"
+    return [
+        web.get(PATH, calls.read),
+        web.put(one, at_writer(registry, calls.put)),
+        web.post(one + "/renew", at_writer(registry, calls.renew)),
+        web.delete(one, at_writer(registry, calls.drop)),
+    ]
--- a/woadyard/net/fetch.py
+++ b/woadyard/net/fetch.py
@@ -69,10 +69,12 @@
     *,
     timeout_s: float,
     most: int = ANSWER_MAX,
+    headers: str = "",
 ) -> tuple[int, bytes]:
-    """Status and body of one call, within `timeout_s` in all; `FetchError` where there is none."""
+    """Status and body of one call, within `timeout_s` in all; `FetchError` where there is none.
+    `headers` are lines to add to the head, each with its CRLF."""
     host, port = address
-    head = f"{method} {target} HTTP/1.1\r\nHost: {host}:{port}\r\nConnection: close\r\n"
+    head = f"{method} {target} HTTP/1.1\r\nHost: {host}:{port}\r\nConnection: close\r\n{headers}"
     request = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
     exchange = _Exchange(request, most)
     try:
--- a/woadyard/registry/__init__.py
+++ b/woadyard/registry/__init__.py
@@ -1,4 +1,4 @@
-"""The list service: endpoints with leases, a version per change, kept on disk.
+"""The list service: books on one replicated log, endpoints with leases first among them.
 
 Only the command line's arguments live here, so that the sidecar's own command
 line names the service without loading it.
@@ -16,6 +16,15 @@
     parser.add_argument(
         "--follow", metavar="HOST:PORT", help="be a replica of the service there, which writes the list"
     )
+    parser.add_argument(
+        "--peers", metavar="HOST:PORT,...", default="",
+        help="the other processes of this log: asked each second who leads",
+    )  # fmt: skip
+    parser.add_argument(
+        "--take-over", action="store_true",
+        help="write on from this log though another one, of a greater term, was heard of; "
+        "what is only there is lost",
+    )  # fmt: skip
     parser.add_argument(
         "--stale-after", metavar="SECONDS", type=float, default=5.0,
         help="a replica that heard nothing of the writer for so long says so to its clients",
--- /dev/null
+++ b/woadyard/registry/answers.py
@@ -0,0 +1,85 @@
+"""What the list service's calls have in common: refusals in JSON, and who may write.
+
+Every refusal is `{"error", "remedy"}`, with `writer` (HOST:PORT) where another process
+writes: 307 with its `Location` at a replica, 503 at a process that lost its place.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import msgspec
+from aiohttp import web
+
+from woadyard.errors import PeerError, PlanError, RecordError, StateError, TraceError, WoadyardError
+from woadyard.registry.refusal import Refusal
+from woadyard.registry.service import DeposedError, Registry
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+T = TypeVar("T")
+# The status of an error of a call; the first that fits.
+STATUS: tuple[tuple[type[WoadyardError], int], ...] = (
+    (DeposedError, 503), (StateError, 507), (RecordError, 400), (PeerError, 400), (PlanError, 409),
+    (TraceError, 422),
+)  # fmt: skip
+TERM_HEADER = "X-Term"  # LINEAGE:TERM, of the log that the caller acts on
+TERM_VALUE = re.compile(r"([0-9a-f]{1,64}):([0-9]{1,16})")
+
+
+def refusal(status: int, what: str, remedy: str, writer: str | None = None) -> web.Response:
+    """A refusal as an answer; the connection ends with it."""
+    body = msgspec.json.encode(Refusal(what, remedy, writer)) + b"\n"
+    answer = web.Response(status=status, body=body, content_type="application/json")
+    answer.force_close()
+    return answer
+
+
+def refused(error: WoadyardError) -> web.Response:
+    status = next((status for kind, status in STATUS if isinstance(error, kind)), 500)
+    return refusal(status, str(error), error.remedy)
+
+
+def answer(told: Any) -> web.Response:
+    """Anything that msgspec writes as JSON."""
+    return web.Response(body=msgspec.json.encode(told) + b"\n", content_type="application/json")
+
+
+async def body(request: web.Request, kind: type[T]) -> T:
+    """The call's body as `kind`, a struct or a type; PeerError where it is none."""
+    try:
+        return msgspec.json.decode(await request.read(), type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise PeerError(f"bad body: {error}", "send the JSON that the call's page names") from None
+
+
+def query(request: web.Request, kind: type[T]) -> T:
+    """The call's query as the struct `kind`; PeerError where it is none."""
+    try:
+        return msgspec.convert(dict(request.query), kind, strict=False)
+    except msgspec.ValidationError as error:
+        raise PeerError(f"bad query: {error}", "send the query that the call's page names") from None
+
+
+def at_writer(registry: Registry, handler: Handler) -> Handler:
+    """A call that only the writer answers: a replica sends the caller on."""
+
+    async def handle(request: web.Request) -> web.StreamResponse:
+        if registry.writer is not None:
+            back = refusal(307, "a replica does not write", "send the call to the writer", registry.writer)
+            back.headers["Location"] = f"http://{registry.writer}{request.raw_path}"
+            return back
+        if registry.deposed:
+            raise DeposedError(f"term {registry.seen} has begun elsewhere")
+        return await handler(request)
+
+    return handle
+
+
+def hear(registry: Registry, request: web.Request) -> None:
+    """A caller that says which term it acts on may be the first to know of a new one."""
+    if told := request.headers.get(TERM_HEADER):
+        if (found := TERM_VALUE.fullmatch(told)) is None:
+            raise PeerError(f"{TERM_HEADER} is none: {told[:80]!r}")
+        registry.hear(found[1], int(found[2]), f"{request.method} {request.path} from {request.remote}")
--- a/woadyard/registry/book.py
+++ b/woadyard/registry/book.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Any, Protocol
+from typing import Any, Protocol, runtime_checkable
 
 Record = Mapping[str, Any]
 
@@ -30,3 +30,19 @@
 
     def load(self, raw: Any) -> None:
         """Take a dump's place; `RecordError` where it is none, and nothing changed."""
+
+
+@runtime_checkable
+class Led(Protocol):
+    """A book that has to know when another process begins to write, or the same one anew."""
+
+    def lead(self, term: int, at: int) -> None:
+        """The term `term` begins at `at` µs: leases run anew from here."""
+
+
+@runtime_checkable
+class Timed(Protocol):
+    """A book in which something comes due by time alone, such as a lease's end."""
+
+    def due(self) -> tuple[int, Record] | None:
+        """When (µs) the writer is to write which record next; None while nothing is due."""
--- /dev/null
+++ b/woadyard/registry/books.py
@@ -0,0 +1,12 @@
+"""The books that the list service's log hosts. A new one is a line here, and one in `routes`."""
+
+from __future__ import annotations
+
+from woadyard.limits import LimitsBook
+from woadyard.lists import ListBook
+from woadyard.registry.book import Book
+
+
+def books() -> list[Book]:
+    """Each empty; what the files hold is loaded into them."""
+    return [ListBook(), LimitsBook()]
--- a/woadyard/registry/command.py
+++ b/woadyard/registry/command.py
@@ -10,14 +10,15 @@
 
 import uvloop
 
-from woadyard.net.config import ConfigError, address
+from woadyard.errors import RecordError, StateError
+from woadyard.net.config import ConfigError, address, addresses
 from woadyard.ops import logs
 from woadyard.registry import add_arguments
 from woadyard.registry.follow import Follower
 from woadyard.registry.http import serve
 from woadyard.registry.log import Journal
+from woadyard.registry.peers import Peers
 from woadyard.registry.service import Registry
-from woadyard.registry.store import RecordError
 
 LOG = logging.getLogger("woadyard")
 
@@ -28,39 +29,50 @@
     return made
 
 
-async def run(registry: Registry, host: str, port: int, stale_s: float) -> None:
+async def run(registry: Registry, arguments: argparse.Namespace) -> None:
     loop = asyncio.get_running_loop()
     task = asyncio.current_task()
     assert task is not None
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
     loop.add_signal_handler(signal.SIGINT, task.cancel)
 
-    follower = None
-    if registry.writer is not None:
-        follower = loop.create_task(Follower(registry, random.Random(), stale_s).run())
-
     def listening(bound: int) -> None:
-        fields = {"version": registry.store.version, "writer": registry.writer or "this"}
-        LOG.info("listening", extra={"port": bound, **fields})
-
+        if registry.writer is None:
+            registry.lead(arguments.take_over)
+        fields = {"index": registry.host.applied, "term": registry.host.term}
+        LOG.info("listening", extra={"port": bound, **fields, "writer": registry.writer or "this"})
+        follower = Follower(registry, random.Random(), arguments.stale_after)
+        tasks.append(loop.create_task(follower.run()))
+        if peers.addresses:
+            tasks.append(loop.create_task(peers.run()))
+
+    peers = Peers(registry, arguments.peers, random.Random())
+    tasks: list[asyncio.Task[None]] = []
     try:
-        await serve(registry, host, port, listening)
+        if not arguments.take_over:
+            await peers.ask()  # one of them may have taken this one's place while it was down
+        await serve(registry, *address(arguments.listen), listening)
     except asyncio.CancelledError:
-        LOG.info("stopped", extra={"version": registry.store.version})
+        LOG.info("stopped", extra={"index": registry.host.applied})
     finally:
-        if follower is not None:
-            follower.cancel()
+        for one in tasks:
+            one.cancel()
 
 
 def start(arguments: argparse.Namespace) -> int:
     logs.setup()
     try:
-        host, port = address(arguments.listen)
+        address(arguments.listen)
         if arguments.follow is not None:
             address(arguments.follow)
+        if arguments.peers:
+            addresses(arguments.peers)
         registry = Registry(Journal(arguments.data), writer=arguments.follow)
-        uvloop.run(run(registry, host, port, arguments.stale_after))
-    except (ConfigError, RecordError, OSError, ValueError) as error:
+        uvloop.run(run(registry, arguments))
+    except (RecordError, StateError) as error:
+        LOG.error("can't start", extra=error.fields())
+        return 2
+    except (ConfigError, OSError) as error:
         LOG.error("can't start", extra={"error": f"{type(error).__name__}: {error}"})
         return 2
     return 0
--- a/woadyard/registry/log.py
+++ b/woadyard/registry/log.py
@@ -2,11 +2,12 @@
 
 Each record is a frame: its length and CRC-32 (4 bytes each, big-endian), then
 its JSON with the log index it gets (`seq`). Every append is written and
-fsynced before it counts. A snapshot is the store whole, written aside and
+fsynced before it counts. A snapshot is the host whole, written aside and
 renamed over the last one, after which the log starts anew; at the start the
 snapshot is read, then the records past its index. A frame that is cut short
 or whose checksum fails ends the log there: it is dropped, with a log line,
-and never read as data.
+and never read as data. `seen` holds the greatest term that this process was
+told of, also where no record of it came.
 """
 
 from __future__ import annotations
@@ -16,43 +17,43 @@
 import os
 import struct
 import zlib
-from collections import deque
 from pathlib import Path
 from typing import Any
 
-from woadyard.registry.store import RecordError, Store
+from woadyard.errors import StateError
+from woadyard.registry.host import Host
+from woadyard.registry.tail import Tail
 
 FRAME = struct.Struct(">II")
 RECORD_MOST = 16 * 1024 * 1024
-RECENT = 4_096  # the last records, kept for replicas that follow
 LOG = logging.getLogger(__name__)
 
 
 class Journal:
-    """The files in `folder`: `log` and `snapshot.json`. OSError where the
+    """The files in `folder`: `log`, `snapshot.json` and `seen`. OSError where the
     disk refuses a write; what was in memory then stays as it was on disk."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.log_path, self.snapshot_path = folder / "log", folder / "snapshot.json"
+        self.seen_path = folder / "seen"
         self.size = 0  # bytes of the log that count; what a failed write left is past them
-        self.recent: deque[dict[str, Any]] = deque(maxlen=RECENT)
+        self.tail = Tail()
 
-    def recover(self) -> Store:
-        """The store as the files hold it; a torn tail is cut off the log."""
+    def recover(self, host: Host) -> None:
+        """Bring an empty `host` to what the files hold; a torn tail is cut off the log.
+        `RecordError` where a whole record can't be applied: the files stay as they are."""
         self.folder.mkdir(parents=True, exist_ok=True)
-        store = Store()
         if self.snapshot_path.exists():
-            store = Store.load(json.loads(self.snapshot_path.read_bytes()))
+            host.load(_read_json(self.snapshot_path))
+        self.tail.begin(host.applied, host.chain)
         good = 0
         data = self.log_path.read_bytes() if self.log_path.exists() else b""
         for end, record in frames(data):
-            if int(record["seq"]) > store.applied:
-                self.recent.append(record)
-                try:
-                    store.apply(record)
-                except RecordError as error:
-                    LOG.warning("log record not applied", extra={"error": str(error), "seq": record["seq"]})
+            # Behind a state taken whole, what the log still held of an older term counts no more.
+            if int(record["seq"]) > host.applied and record.get("term", 0) >= host.term:
+                host.apply(record)
+                self.tail.add(record, host.chain)
             good = end
         if good < len(data):
             LOG.warning("torn log record dropped", extra={"offset": good, "bytes": len(data) - good})
@@ -60,15 +61,19 @@
                 file.truncate(good)
                 os.fsync(file.fileno())
         self.size = good
-        return store
 
-    def append(self, store: Store, record: dict[str, Any]) -> bool:
+    def append(self, host: Host, record: dict[str, Any]) -> bool:
         """Write the record, then apply it; the write comes first, so that
         nothing is served that a restart would not bring back."""
-        store.check(record)  # RecordError before anything is written
-        record = {**record, "seq": store.applied + 1}
+        host.check(record)  # RecordError before anything is written
+        record = {**record, "seq": host.applied + 1}
         payload = json.dumps(record, separators=(",", ":")).encode()
-        frame = FRAME.pack(len(payload), zlib.crc32(payload)) + payload
+        self._write(FRAME.pack(len(payload), zlib.crc32(payload)) + payload)
+        changed = host.apply(record)
+        self.tail.add(record, host.chain)
+        return changed
+
+    def _write(self, frame: bytes) -> None:
         with open(self.log_path, "ab") as file:
             # Guards what follows: behind a refused write's remains no record is read.
             if file.tell() > self.size:
@@ -77,32 +82,48 @@
             file.flush()
             os.fsync(file.fileno())
         self.size += len(frame)
-        self.recent.append(record)
-        return store.apply(record)
-
-    def after(self, seq: int, most: int) -> list[dict[str, Any]] | None:
-        """The records past index `seq`, the first `most`; None where they are no longer kept."""
-        if not self.recent or self.recent[0]["seq"] > seq + 1:
-            return None
-        first = seq + 1 - int(self.recent[0]["seq"])
-        return [self.recent[at] for at in range(first, min(len(self.recent), first + most))]
-
-    def snapshot(self, store: Store) -> None:
-        """The store whole beside the last snapshot, renamed over it, and the log emptied."""
-        aside = self.snapshot_path.with_suffix(".tmp")
+
+    def snapshot(self, host: Host) -> None:
+        """The host whole beside the last snapshot, renamed over it, and the log emptied."""
+        self._replace(self.snapshot_path, json.dumps(host.dump()).encode())
+        with open(self.log_path, "wb") as file:  # its records are all in the snapshot
+            os.fsync(file.fileno())
+        self.size = 0
+
+    def install(self, host: Host) -> None:
+        """The state of another log in this one's place."""
+        self.snapshot(host)
+        self.tail.begin(host.applied, host.chain)
+
+    def see(self, term: int) -> None:
+        """Keep the greatest term told of over a restart."""
+        self._replace(self.seen_path, str(term).encode())
+
+    def seen(self) -> int:
+        try:
+            return int(self.seen_path.read_bytes()) if self.seen_path.exists() else 0
+        except ValueError:
+            raise StateError(f"{self.seen_path} holds no term") from None
+
+    def _replace(self, path: Path, content: bytes) -> None:
+        aside = path.with_suffix(".tmp")
         with open(aside, "wb") as file:
-            file.write(json.dumps(store.dump()).encode())
+            file.write(content)
             file.flush()
             os.fsync(file.fileno())
-        os.replace(aside, self.snapshot_path)
+        os.replace(aside, path)
         folder = os.open(self.folder, os.O_RDONLY)
         try:
             os.fsync(folder)
         finally:
             os.close(folder)
-        with open(self.log_path, "wb") as file:  # its records are all in the snapshot
-            os.fsync(file.fileno())
-        self.size = 0
+
+
+def _read_json(path: Path) -> Any:
+    try:
+        return json.loads(path.read_bytes())
+    except ValueError as error:
+        raise StateError(f"{path} holds no JSON: {error}") from None
 
 
 def frames(data: bytes) -> list[tuple[int, dict[str, Any]]]:
--- /dev/null
+++ b/woadyard/registry/refusal.py
@@ -0,0 +1,21 @@
+"""How the list service says no, in JSON; those who call it read it by the same struct."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Refusal(msgspec.Struct, omit_defaults=True):
+    """`writer` (HOST:PORT) is told where another process writes: the call belongs there."""
+
+    error: str
+    remedy: str = ""
+    writer: str | None = None
+
+
+def read_refusal(body: bytes) -> Refusal:
+    """Of any answer that is not 200; one that is no refusal is quoted."""
+    try:
+        return msgspec.json.decode(body, type=Refusal)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return Refusal(body[:200].decode(errors="replace").strip())
--- a/woadyard/registry/service.py
+++ b/woadyard/registry/service.py
@@ -1,9 +1,10 @@
-"""The list in service: its one writer or a replica of it, with waiters, leases and counts.
+"""The log in service: its one writer or a replica of it, with waiters, timers and counts.
 
-The writer is the process without `--follow`; its leader choice is static. A
-replica replays the writer's records in their order, each through its own log,
-so it is at the same version with the same list, and may take the writer's
-place by a start without `--follow`.
+The writer is the process without `--follow`; who leads is the operators' choice. A
+replica replays the writer's records in their order, each through its own log, so its
+books are the same at the same index, and may take the writer's place by a start
+without `--follow`: that begins a term above every one it heard of. A writer that
+hears of a greater term than its own has been replaced: it writes no more.
 """
 
 from __future__ import annotations
@@ -13,22 +14,33 @@
 import logging
 import secrets
 import time
-from collections import deque
 from collections.abc import Callable
-from typing import Any
-
-from prometheus_client import CollectorRegistry, Counter, Gauge
+from typing import Any, TypeVar
 
+from woadyard.errors import RecordError, StateError
+from woadyard.registry.book import Book, Record, Timed
+from woadyard.registry.books import books
+from woadyard.registry.counts import Counts
+from woadyard.registry.host import LEAD, SALT_BITS, TERM_MOST, Host, next_term
 from woadyard.registry.log import Journal
-from woadyard.registry.store import EXPIRE, LEAD, RecordError, Store
+from woadyard.registry.waiters import LOG_TOPIC, Waiters
 
-PATH = "/registry/instances"
-HISTORY = 256  # the changes kept for watches that resume
 SNAPSHOT_EVERY = 1_000  # records between snapshots
-LOG_PATH = "/registry/log"
-SHARES_PATH = "/registry/shares/"
 RECORDS_MOST = 500  # told to a replica at once
+# A term further on than any number of restarts explains is a lie, and deposes nobody.
+ROUNDS_MOST = 10_000
+AGAIN_S = 1.0  # a record that was due and could not be written is tried again
 LOG = logging.getLogger(__name__)
+B = TypeVar("B", bound=Book)
+
+
+class DeposedError(StateError):
+    """Another process has, or had, the writer's place."""
+
+    remedy = (
+        "start this process with --follow the one that leads now; if none does, the one with "
+        "the most records with --take-over"
+    )
 
 
 def steady() -> Callable[[], int]:
@@ -38,150 +50,190 @@
     return lambda: (began + time.monotonic_ns()) // 1000
 
 
-class Counts:
-    def __init__(self) -> None:
-        self.registry = registry = CollectorRegistry()
-        self.watches = Gauge("registry_watches", "Watches and long polls open", registry=registry)
-        self.clients = Gauge("registry_clients", "Connections open", registry=registry)
-        self.version = Gauge("registry_version", "Version of the list", registry=registry)
-        self.reads = Counter("registry_reads", "Reads answered, by kind", ["kind"], registry=registry)
-        self.writes = Counter("registry_writes", "Writes, by result", ["result"], registry=registry)
-        self.holders = Gauge("registry_holders", "Holders of shares of limits", registry=registry)
-        self.stale = Gauge("registry_stale", "1 while out of touch with the writer", registry=registry)
-
-
 class Registry:
-    """The list, its files and its waiters, on one loop. `writer` is the address
-    of the process that this one follows; None where it is the writer itself."""
+    """The books, their files and those that wait for them, on one loop. `writer` is the
+    address of the process that this one follows; None where it leads, or led."""
 
     def __init__(
         self, journal: Journal, clock: Callable[[], int] | None = None, writer: str | None = None
     ) -> None:
         self.journal, self.clock, self.writer = journal, clock or steady(), writer
+        self.host = Host(books())
+        journal.recover(self.host)
+        self.seen = max(journal.seen(), self.host.term)  # the greatest term told of
         self.stale = False  # a replica that has not heard of its writer lately
-        self.store = journal.recover()
+        self.deposed = False
+        self.waiters = Waiters()
         self.counts = Counts()
-        self.counts.version.set(self.store.version)
-        self.counts.holders.set_function(self._holders)
-        self.history: deque[tuple[int, list[dict[str, Any]]]] = deque(maxlen=HISTORY)
-        self.waiters: set[asyncio.Future[None]] = set()
-        self.expiry: asyncio.TimerHandle | None = None
+        self._count()
+        self.timer: asyncio.TimerHandle | None = None
         self.since_snapshot = 0
 
-    def _holders(self) -> float:
-        now = self.clock()
-        return sum(one.ends > now for one in self.store.ledger.holdings.values())
-
-    def lead(self) -> None:
-        """Begin to write: the log gets its lineage, and every lease runs anew."""
-        lineage = self.store.lineage or secrets.token_hex(8)
-        self.replay({"op": LEAD, "lineage": lineage, "at": self.clock()})
+    @property
+    def books(self) -> dict[str, Book]:
+        return self.host.books
+
+    def book(self, kind: type[B]) -> B:
+        """The book of this class."""
+        found = self.host.books[kind.name]
+        assert isinstance(found, kind)
+        return found
+
+    @property
+    def leads(self) -> bool:
+        return self.writer is None and not self.deposed
+
+    @property
+    def behind(self) -> bool:
+        """What this process serves may be old: it lost its writer, or its place."""
+        return self.stale or self.deposed
+
+    # --- Writing ----------------------------------------------------------------------
+
+    def lead(self, take_over: bool = False) -> None:
+        """Begin to write: a new term, and every lease runs anew. Not, unless to take over,
+        where a term was heard of that this log has no record of: what was written in it
+        would be lost."""
+        if self.seen > self.host.term and not take_over:
+            if not self.deposed:
+                self._depose(self.seen, "what was heard before the start")
+            return
+        lineage = self.host.lineage or secrets.token_hex(8)
+        term = next_term(max(self.seen, self.host.term))
+        self.replay({"op": LEAD, "lineage": lineage, "term": term, "at": self.clock()})
+        self.seen = term
         self.arm()
 
-    def replay(self, record: dict[str, Any]) -> None:
-        """Log and apply one record as it is; RecordError, or OSError of the disk."""
-        before = dict(self.store.entries)
-        if self.journal.append(self.store, record):
-            self._changed(before)
-        self._snapshot_now_and_then()
-
-    def install(self, store: Store) -> None:
-        """A replica too far behind for records takes the writer's state whole."""
-        self.journal.snapshot(store)
-        self.journal.recent.clear()
-        self.history.clear()
-        self.store = store
-        self._wake()
-
-    def log_after(self, seq: int, lineage: str) -> dict[str, Any]:
-        """What a replica at index `seq` lacks: records, or the state whole. RecordError
-        where it holds what this log does not: it is no replica of it."""
-        store = self.store
-        if lineage not in ("", store.lineage) or seq > store.applied:
-            raise RecordError("the replica's log is not a part of this one")
-        records = self.journal.after(seq, RECORDS_MOST) if seq < store.applied else []
-        found: dict[str, Any] = {"applied": store.applied}
-        return {**found, "snapshot": store.dump()} if records is None else {**found, "records": records}
-
-    def set_stale(self, stale: bool) -> None:
-        if stale != self.stale:
-            self.stale = stale
-            self.counts.stale.set(stale)
-            self._wake()
-
-    def write(self, record: dict[str, Any]) -> tuple[int, str]:
-        """Log and apply one record of a caller: an HTTP status and a line."""
+    def commit(self, record: Record) -> int:
+        """Log and apply a record, at this process's term and time; its index. `RecordError`
+        where its book turns it down, `DeposedError` where this process leads no more,
+        `StateError` where the disk refuses it; nothing of it was then applied."""
         try:
-            self.replay({**record, "at": self.clock()})
-        except RecordError as error:
+            if not self.leads:
+                raise DeposedError(f"this process does not write: it is at term {self.host.term}")
+            self.replay({**record, "term": self.host.term, "at": self.clock()})
+        except RecordError:
             self.counts.writes.labels("refused").inc()
-            return 400, str(error)
-        except OSError as error:
+            raise
+        except StateError:
             self.counts.writes.labels("failed").inc()
-            LOG.error("write failed", extra={"error": str(error)})
-            return 507, f"can't write: {error}"
+            raise
         self.counts.writes.labels("done").inc()
         self.arm()
-        return 200, json.dumps({"generation": self.store.version})
-
-    def _changed(self, before: dict[str, dict[str, Any]]) -> None:
-        after = self.store.entries
-        delta = [after[name] for name in sorted(after) if before.get(name) != after[name]]
-        delta += [{**before[name], "lifecycle": "gone"} for name in sorted(before.keys() - after.keys())]
-        self.history.append((self.store.version, delta))
-        self._wake()
-
-    def _wake(self) -> None:
-        self.counts.version.set(self.store.version)
-        for waiter in self.waiters:
-            if not waiter.done():
-                waiter.set_result(None)
-        self.waiters.clear()
+        return self.host.applied
+
+    def write(self, record: Record) -> tuple[int, str]:
+        """`commit`, as an HTTP status and a body in JSON."""
+        try:
+            index = self.commit(record)
+        except RecordError as error:
+            return 400, json.dumps(error.fields())
+        except DeposedError as error:
+            return 503, json.dumps(error.fields())
+        except StateError as error:
+            return 507, json.dumps(error.fields())
+        return 200, json.dumps({"index": index, "term": self.host.term})
+
+    def replay(self, record: dict[str, Any]) -> None:
+        """Log and apply one record as it is; RecordError, or StateError of the disk."""
+        try:
+            changed = self.journal.append(self.host, record)
+        except OSError as error:
+            LOG.error("write failed", extra={"error": str(error)})
+            raise StateError(f"can't write: {error}") from None
+        self.seen = max(self.seen, self.host.term)
+        self._count()
+        self.waiters.wake(LOG_TOPIC, *([record.get("book", "list")] if changed else []))
+        self._snapshot_now_and_then()
 
     def _snapshot_now_and_then(self) -> None:
         self.since_snapshot += 1
         if self.since_snapshot >= SNAPSHOT_EVERY:
             try:
-                self.journal.snapshot(self.store)
+                self.journal.snapshot(self.host)
                 self.since_snapshot = 0
             except OSError as error:
                 LOG.error("snapshot failed", extra={"error": str(error)})
 
     def arm(self) -> None:
-        """A timer for the first lease to run out: its end is a record too."""
-        if self.expiry is not None:
-            self.expiry.cancel()
-        due = self.store.next_expiry()
-        if due is not None:
-            delay = max(0.0, (due - self.clock()) / 1e6)
-            self.expiry = asyncio.get_running_loop().call_later(delay, self.write, {"op": EXPIRE})
-
-    async def changed_past(self, version: int, wait_s: float) -> None:
-        """Returns once the version is past `version`, or this replica became stale
-        or ceased to be, or after `wait_s`."""
-        if self.store.version > version:
+        """A timer for what comes due next in any book: that is a record too."""
+        if self.timer is not None:
+            self.timer.cancel()
+        timed = (book.due() for book in self.books.values() if isinstance(book, Timed))
+        if due := min((one for one in timed if one is not None), key=lambda one: one[0], default=None):
+            delay = max(0.0, (due[0] - self.clock()) / 1e6)
+            self.timer = asyncio.get_running_loop().call_later(delay, self._due, due[1])
+
+    def _due(self, record: Record) -> None:
+        if not self.leads:
             return
-        waiter = asyncio.get_running_loop().create_future()
-        self.waiters.add(waiter)
         try:
-            await asyncio.wait_for(asyncio.shield(waiter), wait_s)
-        except TimeoutError:
-            pass
-        finally:
-            self.waiters.discard(waiter)
-
-    def listing(self) -> dict[str, Any]:
-        """The whole list; `following` says so where it may be old."""
-        return {**self.store.listing(), **({"following": False} if self.stale else {})}
-
-    def changes_since(self, version: int) -> dict[str, Any]:
-        """What changed after `version`, or the whole list where that is not kept."""
-        if version == self.store.version:
-            return {"generation": version, "reset": False, "instances": []}
-        if not self.history or not self.history[0][0] - 1 <= version < self.store.version or version <= 0:
-            return self.store.listing()
-        kept = [delta for at, delta in self.history if at > version]
-        merged: dict[str, dict[str, Any]] = {}
-        for delta in kept:
-            merged.update((one["instanceId"], one) for one in delta)
-        return {"generation": self.store.version, "reset": False, "instances": list(merged.values())}
+            self.commit(record)
+        except (RecordError, StateError) as error:
+            LOG.error("what came due can't be written", extra=error.fields())
+            self.timer = asyncio.get_running_loop().call_later(AGAIN_S, self.arm)
+
+    # --- Terms ------------------------------------------------------------------------
+
+    def hear(self, lineage: str, term: int, by: str) -> None:
+        """Somebody acts on `term`. One above this process's own, of its own log, means
+        that another process was given the writer's place: this one writes no more."""
+        if lineage != self.host.lineage or term <= self.seen:
+            return
+        if term >= TERM_MOST or (term >> SALT_BITS) - (self.seen >> SALT_BITS) > ROUNDS_MOST:
+            LOG.warning("a term that can't be", extra={"term": term, "by": by})
+            return
+        self.seen = term
+        try:
+            self.journal.see(term)
+        except OSError as error:
+            LOG.error("can't keep the term heard of", extra={"error": str(error)})
+        if self.leads:
+            self._depose(term, by)
+
+    def _depose(self, term: int, by: str) -> None:
+        self.deposed = True
+        fields = {"term": self.host.term, "greater": term, "by": by, "remedy": DeposedError.remedy}
+        LOG.error("deposed: another process writes, this one stops", extra=fields)
+        self._count()
+        self.waiters.wake()
+
+    # --- Following --------------------------------------------------------------------
+
+    def follow(self, writer: str) -> None:
+        """From now on a replica of the process there."""
+        self.writer, self.deposed = writer, False
+        self.set_stale(True)
+
+    def install(self, host: Host) -> None:
+        """A replica whose log is no part of the writer's takes the writer's state whole."""
+        self.journal.install(host)
+        self.host = host
+        self.seen = max(self.seen, host.term)
+        self._count()
+        self.waiters.wake()
+
+    def log_after(self, index: int, chain: str, lineage: str) -> dict[str, Any]:
+        """What a replica lacks whose log has the running hash `chain` behind record `index`:
+        records, or the state whole where that is no part of this log. RecordError where it
+        is a replica of another log."""
+        host, tail = self.host, self.journal.tail
+        if lineage not in ("", host.lineage):
+            remedy = "follow the writer of that log, or begin anew in an empty folder"
+            raise RecordError("the replica's log is of another lineage", remedy)
+        told: dict[str, Any] = {"applied": host.applied, "lineage": host.lineage, "term": host.term}
+        if tail.chain_at(index) == chain:
+            return {**told, "records": tail.after(index, RECORDS_MOST)}
+        return {**told, "snapshot": host.dump(), "marks": tail.marks()}
+
+    def set_stale(self, stale: bool) -> None:
+        if stale != self.stale:
+            self.stale = stale
+            self._count()
+            self.waiters.wake()
+
+    def _count(self) -> None:
+        self.counts.term.set(self.host.term)
+        self.counts.applied.set(self.host.applied)
+        self.counts.stale.set(self.stale)
+        self.counts.deposed.set(self.deposed)
--- /dev/null
+++ b/woadyard/registry/waiters.py
@@ -0,0 +1,41 @@
+"""Those that wait until something changed, by topic: a book's name, or the log."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+LOG_TOPIC = "log"
+
+
+class Waiters:
+    def __init__(self) -> None:
+        self.waiting: dict[str, set[asyncio.Future[None]]] = {}
+
+    def wake(self, *topics: str) -> None:
+        """Those of these topics; without any, all."""
+        for topic in topics or tuple(self.waiting):
+            for waiter in self.waiting.pop(topic, ()):
+                if not waiter.done():
+                    waiter.set_result(None)
+
+    async def until(self, topic: str, true: Callable[[], bool], wait_s: float) -> bool:
+        """Returns once `true()`, looked at after each wake of the topic, or after `wait_s`."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_s
+        while not true():
+            if (left := end - loop.time()) <= 0.0:
+                return False
+            await self.woken(topic, left)
+        return True
+
+    async def woken(self, topic: str, wait_s: float) -> None:
+        """Returns at the topic's next wake, or after `wait_s`."""
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiting.setdefault(topic, set()).add(waiter)
+        try:
+            await asyncio.wait_for(waiter, wait_s)
+        except TimeoutError:
+            pass
+        finally:
+            self.waiting.get(topic, set()).discard(waiter)
