Order lists by term and generation in the sidecar, and go to the writer that is named

A generation alone does not name a list once two processes have written: a sidecar kept the higher number, whoever wrote it. It now takes the greater term, refuses a list of an older one and turns to another replica, resumes its watch from term and generation, and presents its term (X-Term), so that a writer that was replaced learns of it. Discovery that tells neither lineage nor term is read as before, and hears no more than before. Writes go on to the writer that a replica names, in the same call.

--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -1,8 +1,8 @@
 """Discovery: keeps the watch open, or asks when told to, and hands lists on.
 
 It may have several replicas: a watch that ends, or a replica that says it is
-out of touch with its writer, turns it to the next one, from the version held.
-Through any outage the last list stays.
+out of touch with its writer, or of an older term, turns it to the next one, from the
+version held. Through any outage the last list stays.
 """
 
 from __future__ import annotations
@@ -12,12 +12,13 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import cast
+from typing import Any, cast
 
 import httptools
 
 from woadyard.membership import Listen
 from woadyard.net.backoff import Backoff
+from woadyard.net.held import REFUSE, TAKE, Held, Named, read_name
 
 # While nothing changes an empty line comes every 2 s: soon after a missed one the
 # watch is taken for dead, as a network that is cut off says nothing. What changes
@@ -48,7 +49,8 @@
         if self.done:
             self.transport.abort()
             return
-        self.transport.write(f"GET {self.target} HTTP/1.1\r\nHost: {self.owner.address}\r\n\r\n".encode())
+        head = f"GET {self.target} HTTP/1.1\r\nHost: {self.owner.address}\r\n{self.owner.held.header()}\r\n"
+        self.transport.write(head.encode())
 
     def data_received(self, data: bytes) -> None:
         if self.done:
@@ -111,12 +113,12 @@
         self.listen, self.rng = listen, rng
         self.backoff = Backoff(rng, RETRY_S, RETRY_MOST_S)
         self.on_failed: Callable[[], None] = lambda: None
-        self.generation = 0
+        self.on_anew: Callable[[], None] = lambda: None  # generations count anew from the next list
+        self.held = Held()
         self.stream: Stream | None = None  # the watch
         self.silent_s = SILENT_S
         self.tasks: set[asyncio.Task[None]] = set()
         self.moving = False  # to an address that has told nothing yet
-        self.trusting = True  # of a first list, whatever its version, from a new address
         self.out = False  # discovery lost, and said so
         self.closed = False
         self._settle(address)
@@ -131,6 +133,15 @@
         """Of the replica in use."""
         return self.replicas[self.turn]
 
+    @property
+    def generation(self) -> int:
+        """Of the list held."""
+        return self.held.name.generation
+
+    @generation.setter
+    def generation(self, known: int) -> None:
+        self.held.name = Named(generation=known)
+
     def move(self, address: str) -> None:
         """Discovery has other addresses. A watch that was asked for goes on
         there, and is asked for again until a first list has come."""
@@ -139,7 +150,7 @@
         before = set(self.replicas)
         self._settle(address)
         # With a replica in common it is the same service: its versions go on.
-        self.moving, self.trusting = True, not before & set(self.replicas)
+        self.moving, self.held.trusting = True, not before & set(self.replicas)
         self.backoff.reset()
         if self.stream is not None:
             self.watch(True)
@@ -149,8 +160,7 @@
             self.stream.stop()
             self.stream = None
         if on and not self.closed:
-            target = f"{self.path}?watch=1&from={self.generation}"
-            self.stream = self._ask(target, watch=True)
+            self.stream = self._ask(self.held.target(self.path), watch=True)
             self.loop.call_later(self.silent_s, self._check, self.stream)
 
     def fetch(self) -> None:
@@ -186,18 +196,22 @@
         where the replica may be behind: another one is to be asked."""
         told = json.loads(raw)
         try:
-            version, whole, entries = int(told["generation"]), bool(told["reset"]), told["instances"]
-        except (KeyError, TypeError, OverflowError) as error:
+            name, whole, entries = read_name(told), bool(told["reset"]), told["instances"]
+        except (KeyError, TypeError, AttributeError, OverflowError) as error:
             raise ValueError(f"no list: {error!r}") from None
         if not isinstance(entries, list):
             raise ValueError("instances is no list")
-        # Guards against a replica that lags: once an address has told a list,
-        # nothing older of it is taken. A first list may be older, as a new
-        # service counts anew.
-        if version >= self.generation or (whole and self.trusting):
-            self.listen(version, whole, entries)
-            self.generation = version
-        self.moving, self.trusting = False, False
+        # Guards against a replica that lags, or follows a writer that was replaced: once an
+        # address has told a list, nothing older of it is taken. A first list may be older,
+        # as a new service counts anew.
+        verdict = self.held.judge(name, whole, self.loop.time())
+        if verdict == REFUSE:
+            fields = {"at": self.address, "term": name.term, "held": self.held.name.term}
+            LOG.warning("a list of an older term or another log is not taken", extra=fields)
+            return False
+        if verdict == TAKE:
+            self._take(name, whole, entries)
+        self.moving, self.held.trusting = False, False
         if told.get("following") is False:
             return False
         self.backoff.reset()
@@ -206,9 +220,17 @@
             LOG.info("discovery reached again", extra={"at": self.address, "version": self.generation})
         return True
 
+    def _take(self, name: Named, whole: bool, entries: list[dict[str, Any]]) -> None:
+        if self.held.anew(name):
+            self.on_anew()
+        self.listen(name.generation, whole, entries)
+        self.held.take(name, self.loop.time())
+
     def lost(self, stream: Stream) -> None:
         if self.closed:
             return
+        if stream is self.stream:
+            self.held.heard = max(self.held.heard, stream.heard)
         if not self.out:  # once an outage, not once a try
             self.out = True
             fields = {"at": self.address, "version": self.generation}
--- a/woadyard/net/listwriter.py
+++ b/woadyard/net/listwriter.py
@@ -10,8 +10,9 @@
 from typing import Any
 
 from woadyard.net.backoff import Backoff
-from woadyard.net.config import address
+from woadyard.net.config import ConfigError, address
 from woadyard.net.fetch import FetchError, fetch
+from woadyard.registry.refusal import read_refusal
 
 CALL_S = 2.0
 RETRY_S, RETRY_MOST_S = 0.2, 2.0
@@ -22,32 +23,69 @@
 
 
 class ListWriter:
-    """Writes again and again at the service with these addresses, commas between."""
+    """Writes again and again at the service with these addresses, commas between.
+
+    It goes to the writer that a replica names, and tells each the greatest term it has
+    heard in an answer: an answer of an older one is of a writer that was replaced, and
+    counts as none.
+    """
 
     def __init__(self, addresses: str, rng: random.Random) -> None:
         self.replicas = [address(one.strip()) for one in addresses.split(",")]
         self.turn = 0
+        self.sent_on: tuple[str, int] | None = None  # the writer, as a replica named it
+        self.term: tuple[str, int] | None = None  # lineage and term, the greatest told
         self.backoff = Backoff(rng, RETRY_S, RETRY_MOST_S)
 
     async def keep(self, every_s: float, call: Call, done: Done = lambda told: None) -> None:
         """Make the call every `every_s` until cancelled; where it fails, at the next
         replica after a backoff."""
         while True:
-            if await self._write(call, done):
+            if await self.write(*call(), done):
                 self.backoff.reset()
                 await asyncio.sleep(every_s)
             else:
-                self.turn = (self.turn + 1) % len(self.replicas)
                 await asyncio.sleep(self.backoff.next_s())
 
-    async def _write(self, call: Call, done: Done) -> bool:
-        method, target, content = call()
+    async def write(self, method: str, target: str, content: dict[str, Any], done: Done) -> bool:
+        """One call; at the writer that a replica names, in the same call. False where it
+        failed: the next is made at another replica."""
         body = json.dumps(content).encode()
+        for _ in range(2):
+            status, back = await self._ask(method, target, body)
+            if status == HTTPStatus.OK and self._take(back, done):
+                return True
+            if status != HTTPStatus.TEMPORARY_REDIRECT or not self._send_on(back):
+                break
+        self.sent_on = None
+        self.turn = (self.turn + 1) % len(self.replicas)
+        return False
+
+    async def _ask(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
+        at = self.sent_on or self.replicas[self.turn]
+        headers = f"X-Term: {self.term[0]}:{self.term[1]}\r\n" if self.term else ""
+        try:
+            return await fetch(at, method, target, body, timeout_s=CALL_S, headers=headers)
+        except FetchError:
+            return 0, b""
+
+    def _send_on(self, back: bytes) -> bool:
+        writer = read_refusal(back).writer
+        try:
+            self.sent_on = address(writer) if writer else None
+        except ConfigError:
+            self.sent_on = None
+        return self.sent_on is not None
+
+    def _take(self, back: bytes, done: Done) -> bool:
         try:
-            status, back = await fetch(self.replicas[self.turn], method, target, body, timeout_s=CALL_S)
-            if status != HTTPStatus.OK:
-                return False
-            done(json.loads(back))
-        except (FetchError, ValueError, KeyError, TypeError, AttributeError):
+            told = json.loads(back)
+            if term := told.get("term"):
+                named = str(told.get("lineage")), int(term)
+                if self.term and named[0] == self.term[0] and named[1] < self.term[1]:
+                    return False
+                self.term = named
+            done(told)
+        except (ValueError, KeyError, TypeError, AttributeError):
             return False
         return True
