--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -29,7 +29,8 @@
         "--listen", f"127.0.0.1:{port}", *more, stderr=asyncio.subprocess.PIPE,
     )  # fmt: skip
     assert process.stderr is not None
-    assert json.loads(await process.stderr.readline())["event"] == "listening"
+    while json.loads(await process.stderr.readline())["event"] != "listening":
+        pass  # a replica may follow before it listens
     return process
 
 
