Keep whole requests in a bounded, checksummed recording of what a sidecar saw

What-if needs what each sidecar saw: arrivals, attempts, and the lists and settings it acted on. A request is one msgpack record, written once it has its answer and nothing of it is out, so a trace holds no halves; records stand 32 to a frame with length and CRC-32 like the list service's log. The ring is bounded by record.memory-kb, requests under way included; the state that requests began from outlives the frames that made room. Not tied into the sidecar yet: the driver has no observers so far.

--- /dev/null
+++ b/woadyard/net/recorder.py
@@ -0,0 +1,131 @@
+"""Records what the driver sees, whole requests in a bounded ring; the door serves it in pieces.
+
+Off without `record` in the configuration. The hot path only fills one small record a request;
+they are encoded together, and never past the bound of memory.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+import uuid
+from typing import Annotated, Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from woadyard.interface import Arrival, Outcome, Send, Settings
+from woadyard.policy import mix
+from woadyard.whatif.ring import Ring
+from woadyard.whatif.trace import Asked, Listed, Record, Retuned, Started, State, Tried, Weighed
+
+# Requests encoded together; what a request under way takes in memory, and its part of the bound.
+BATCH = 32
+OPEN_EACH = 1024
+OPEN_PART = 4
+WHOLE = 1 << 64
+
+
+class RecordSettings(msgspec.Struct, forbid_unknown_fields=True, rename="kebab", frozen=True):
+    """The file's `record`: memory that the recording may take, and the share of requests kept."""
+
+    memory_kb: Annotated[int, msgspec.Meta(ge=64, le=1 << 20)] = 4096
+    sample: Annotated[float, msgspec.Meta(gt=0.0, le=1.0)] = 1.0
+
+
+class Recorder:
+    """An `Observer`. The ring is read on the door's thread, so it is held by a lock; the loop
+    takes that once a request."""
+
+    def __init__(self, settings: RecordSettings, sidecar: str, seed: int, now: int) -> None:
+        bound = settings.memory_kb * 1024
+        self.open_most = max(BATCH, bound // OPEN_PART // OPEN_EACH)
+        self.ring = Ring(bound - self.open_most * OPEN_EACH)
+        self.below = int(settings.sample * WHOLE)
+        self.incarnation = uuid.uuid4().hex
+        self.open: dict[int, Asked] = {}
+        self.batch: list[Record] = []
+        self.guard = threading.Lock()
+        self.skipped = 0  # requests that found no room while they were under way
+        wall_us = time.time_ns() // 1000
+        self._state(Started(sidecar, self.incarnation, seed, now, wall_us, settings.sample))
+
+    # --- What the driver tells ----------------------------------------------------
+
+    def taken(self, now: int, event: Arrival) -> None:
+        rid = event.request
+        if self.below < WHOLE and mix(rid) >= self.below:
+            return
+        if len(self.open) >= self.open_most:
+            self.skipped += 1
+            return
+        self.open[rid] = Asked(
+            now, rid, event.cls, event.expires, event.tenant, event.key, event.work_us, event.repeated,
+            event.home, [],
+        )  # fmt: skip
+
+    def sent(self, now: int, action: Send) -> bytes:
+        if (asked := self.open.get(action.request)) is not None:
+            asked.tries.append(Tried(now, action.endpoint))
+        return b""
+
+    def ended(self, now: int, event: Outcome) -> None:
+        asked = self.open.get(event.request)
+        if asked is None or event.copy >= len(asked.tries):
+            return
+        tried = asked.tries[event.copy]
+        tried.outcome, tried.delay, tried.report = event.outcome, event.delay_us, event.report
+        if asked.ended:
+            self._close(asked)
+
+    def answered(self, now: int, request: int, status: int) -> None:
+        if (asked := self.open.get(request)) is not None:
+            asked.status, asked.answered = status, now
+            if asked.ended:
+                self._close(asked)
+
+    def refused(self, now: int, request: int) -> None:
+        """`answered` follows, with the status."""
+
+    def listed(self, now: int, mode: int, version: int, raw: list[dict[str, Any]]) -> None:
+        self._state(Listed(now, mode, version, raw))
+
+    def retuned(self, now: int, settings: Settings, raw: dict[str, Any]) -> None:
+        names = [str(one["name"]) for one in raw["classes"]]
+        tenants = [str(one["name"]) for one in raw.get("accounts", ())]
+        zones, kinds = ([str(one) for one in raw.get(part, ())] for part in ("zones", "kinds"))
+        self._state(Retuned(now, settings, names, tenants, zones, kinds))
+
+    def weighed(self, now: int, revision: int, factors: dict[str, float]) -> None:
+        """A plan's weights are in use."""
+        self._state(Weighed(now, revision, factors))
+
+    # --- The ring -----------------------------------------------------------------
+
+    def _close(self, asked: Asked) -> None:
+        del self.open[asked.request]
+        with self.guard:
+            self.batch.append(asked)
+            if len(self.batch) >= BATCH:
+                self._flush()
+
+    def _state(self, record: State) -> None:
+        with self.guard:
+            self._flush()  # what came before stands before
+            self.ring.add([record], record)
+
+    def _flush(self) -> None:
+        if self.batch:
+            batch, self.batch = self.batch, []
+            self.ring.add(batch)
+
+    def piece(self, query: str) -> bytes:
+        """What the door's `GET /_trace?from=OFFSET&incarnation=ID` answers, msgpack (`Piece`). An
+        offset of another incarnation begins anew."""
+        asked = parse_qs(query)
+        start = asked.get("from", ["0"])[0]
+        same = asked.get("incarnation", [self.incarnation])[0] == self.incarnation
+        with self.guard:
+            self._flush()
+            offset = int(start) if same and start.isdecimal() and len(start) < 20 else 0
+            return msgspec.msgpack.encode(self.ring.piece(self.incarnation, offset))
