--- a/woadyard/whatif/scene.py
+++ b/woadyard/whatif/scene.py
@@ -11,6 +11,7 @@
 from woadyard.interface import DRAINING, GONE, READY, Entry, Settings
 from woadyard.net.state import endpoint_number
 from woadyard.whatif.trace import Listed, Retuned, Trace
+from woadyard.whatif.weights import Weights, resolve
 
 # Scenes begin this far from 0, so that an endpoint started before has a time above 0: 0 is long ago.
 LEAD_US = 3_600_000_000
@@ -100,13 +101,7 @@
     def place_of(self, name: str) -> int:
         return self.places[endpoint_number(name)]
 
-    def factors(self, weights: dict[str, float]) -> dict[int, float]:
-        """A plan's weights, by instance id or as `machineType=NAME`, `zone=NAME`, to factors by the
-        module's number, the largest 1. An instance's own weight goes before its kind's, that before
-        its zone's; 1 where none names it."""
-        found = {}
-        for place, name in enumerate(self.endpoints):
-            keys = (name, f"machineType={self.kinds[place]}", f"zone={self.zones[place]}")
-            found[endpoint_number(name)] = next((weights[key] for key in keys if key in weights), 1.0)
-        most = max(found.values(), default=1.0) or 1.0
-        return {number: value / most for number, value in found.items()}
+    def factors(self, weights: Weights) -> dict[int, float]:
+        """A plan's factors by the module's number."""
+        found = resolve(weights, zip(self.endpoints, self.kinds, self.zones, strict=True))
+        return {endpoint_number(name): value for name, value in found.items()}
--- a/woadyard/whatif/study.py
+++ b/woadyard/whatif/study.py
@@ -2,24 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from hashlib import blake2b
 
 import msgspec
 import numpy as np
 
-from woadyard.errors import PlanError, TraceError
+from woadyard.errors import TraceError
 from woadyard.whatif.facts import recorded
 from woadyard.whatif.forecast import Arms, Forecast, forecast
 from woadyard.whatif.model import Model, fit
+from woadyard.whatif.plans import plan_digest
 from woadyard.whatif.pool import Job, play
 from woadyard.whatif.scene import Scene
 from woadyard.whatif.settings import Rules
 from woadyard.whatif.tally import Frame, Tally, tally
 from woadyard.whatif.trace import read
 from woadyard.whatif.verdict import Verdict, judge
-
-Weights = Mapping[str, float]
+from woadyard.whatif.weights import Weights, check_weights
 
 
 class Study(msgspec.Struct, frozen=True):
@@ -33,20 +33,6 @@
     dropped: int  # bytes of the traces that could not be read
 
 
-def plan_digest(weights: Weights) -> str:
-    raw = msgspec.json.encode(dict(sorted(weights.items())))
-    return blake2b(raw, digest_size=16).hexdigest()
-
-
-def check_weights(weights: Weights) -> None:
-    """`PlanError` unless every weight is above 0 and the keys are of endpoints or their kinds."""
-    if not weights:
-        raise PlanError("the plan has no weights")
-    for key, value in weights.items():
-        if not key or not 0.0 < value < float("inf"):
-            raise PlanError(f"weight of {key!r} is no number above 0: {value!r}")
-
-
 class Work:
     """The traces read and fitted once, for any number of proposals."""
 
@@ -78,10 +64,10 @@
         )  # fmt: skip
 
     def study(self, weights: Weights) -> Study:
-        check_weights(weights)
+        chosen = check_weights(weights)
         seeds = range(self.rules.seeds)
         force: list[Job] = [] if self.force else [(seed, None) for seed in seeds]
-        jobs = [*force, *((seed, dict(weights)) for seed in seeds)]
+        jobs = [*force, *((seed, chosen) for seed in seeds)]
         found = play(self.data, self.model, self.frame, jobs, self.rules.workers)
         if force:
             self.force = found[: len(force)]
@@ -89,7 +75,7 @@
         made = forecast(self.scene, arms, self.rules, self._cold_bound())
         replays = blake2b(made.digest.encode(), digest_size=16).hexdigest()
         verdict = judge(made, self.rules)
-        return Study(verdict, made, plan_digest(weights), self.scene.digest, replays, self.dropped)
+        return Study(verdict, made, plan_digest(chosen), self.scene.digest, replays, self.dropped)
 
     def _cold_bound(self) -> np.ndarray[tuple[int], np.dtype[np.float64]]:
         """What a starting endpoint bears in a tipping span: the settings' multiple of its capacity by
