--- a/benchmarks/whatif_world.py
+++ b/benchmarks/whatif_world.py
@@ -14,12 +14,12 @@
 
 from woadyard.interface import LIST_FULL, OK, SAFE, Arrival, Outcome, RequestClass, Send, Settings
 from woadyard.net.recorder import Recorder, RecordSettings
-from woadyard.whatif.facts import ANSWERED, REFUSED, Facts
+from woadyard.whatif.facts import Facts
 from woadyard.whatif.model import Burst, Endpoint, Model, Work, quantiles
 from woadyard.whatif.replay import Live, Replay, Sidecar
 from woadyard.whatif.ring import Piece
 from woadyard.whatif.scene import LEAD_US, Scene
-from woadyard.whatif.trace import Asked, Listed, Retuned, Started, Trace
+from woadyard.whatif.trace import ANSWERED, REFUSED, Asked, Listed, Retuned, Started, Trace
 
 SECOND = 1_000_000
 KINDS = {"small": 30_000.0, "large": 12_000.0, "old": 60_000.0}  # mean service, µs
--- a/woadyard/whatif/facts.py
+++ b/woadyard/whatif/facts.py
@@ -10,14 +10,11 @@
 from numpy.typing import NDArray
 
 from woadyard.interface import READY
-from woadyard.whatif.scene import PHASES, Scene, Side
-from woadyard.whatif.trace import Asked, Listed
+from woadyard.whatif.scene import PHASES, Scene
+from woadyard.whatif.trace import Listed, end_of
 
 Column = NDArray[np.int64]
 
-# What a request came to.
-ANSWERED, REFUSED, FAILED = range(3)
-
 
 @dataclass(frozen=True)
 class Requests:
@@ -64,15 +61,6 @@
     return [np.ascontiguousarray(table[:, at]) for at in range(width)]
 
 
-def end_of(status: int) -> int:
-    return REFUSED if status == 503 else FAILED if status >= 500 else ANSWERED
-
-
-def aim_of(side: Side, asked: Asked) -> int:
-    cls = side.settings_at(asked.at).classes[asked.cls]
-    return cls.aim_us + int(cls.aim_stretch * asked.work_us)
-
-
 def inflight(starts: Column, ends: Column) -> Column:
     """How many others each interval found under way when it began."""
     before = np.searchsorted(np.sort(starts), starts, side="left")
@@ -102,7 +90,7 @@
         for asked in side.trace.requests:
             if asked.status:  # else its caller left
                 took = asked.answered - asked.at
-                row = (asked.cls, asked.tenant, end_of(asked.status), took, aim_of(side, asked))
+                row = (asked.cls, asked.tenant, end_of(asked.status), took, side.aim(asked))
                 requests.append((asked.at + side.shift, *row))
             for one in asked.tries:
                 if one.endpoint in scene.places:
--- a/woadyard/whatif/plans.py
+++ b/woadyard/whatif/plans.py
@@ -126,7 +126,7 @@
                     raise RecordError(f"the plan is done after stage {len(plan.stages) - 1}")
             case "halt":
                 self._need(plan, ROLLING)
-            case "withdraw":
+            case "withdraw" | "again":
                 self._need(plan, PROPOSED, JUDGED)
             case _:
                 raise RecordError(f"no record of plans: {op!r}")
@@ -184,6 +184,8 @@
         match op:
             case "judge":
                 plan.verdict, plan.state = _judgement(record), JUDGED
+            case "again":
+                plan.verdict, plan.state = None, PROPOSED
             case "force":
                 plan.forced = str(record["reason"]).strip()
             case "begin" | "stage":
--- a/woadyard/whatif/replay.py
+++ b/woadyard/whatif/replay.py
@@ -23,10 +23,10 @@
     Timer,
 )
 from woadyard.policy import Balancer, mix
-from woadyard.whatif.facts import ANSWERED, FAILED, REFUSED, Attempts, Facts, Requests, aim_of, columns
+from woadyard.whatif.facts import Attempts, Facts, Requests, columns
 from woadyard.whatif.model import Model
 from woadyard.whatif.scene import Scene, Side
-from woadyard.whatif.trace import Asked, Change, Listed, Retuned
+from woadyard.whatif.trace import ANSWERED, FAILED, REFUSED, Asked, Change, Listed, Retuned
 from woadyard.whatif.world import Server, World, luck
 
 # The driver's timers have no finer steps.
@@ -141,7 +141,7 @@
         rid = sidecar.next
         scale = self.world.scale(asked.cls, asked.work_us)
         key = mix(self.seed * 31 + sidecar.number) ^ mix(asked.request * 64 + order)
-        live = sidecar.calls[rid] = Live(asked, now, aim_of(sidecar.side, asked), key, scale)
+        live = sidecar.calls[rid] = Live(asked, now, sidecar.side.aim(asked), key, scale)
         event = Arrival(
             rid, asked.cls, live.expires, asked.tenant, asked.key, asked.work_us, asked.repeated, asked.home
         )
--- a/woadyard/whatif/scene.py
+++ b/woadyard/whatif/scene.py
@@ -10,7 +10,7 @@
 from woadyard.errors import TraceError
 from woadyard.interface import DRAINING, GONE, READY, Entry, Settings
 from woadyard.net.state import endpoint_number
-from woadyard.whatif.trace import Listed, Retuned, Trace
+from woadyard.whatif.trace import Asked, Listed, Retuned, Trace
 from woadyard.whatif.weights import Weights, resolve
 
 # Scenes begin this far from 0, so that an endpoint started before has a time above 0: 0 is long ago.
@@ -38,6 +38,11 @@
     def settings_at(self, at: int) -> Settings:
         return self.tuned[max(0, bisect_right(self.tuned_at, at) - 1)].settings
 
+    def aim(self, asked: Asked) -> int:
+        """Within how many µs its answer counts as good."""
+        cls = self.settings_at(asked.at).classes[asked.cls]
+        return cls.aim_us + int(cls.aim_stretch * asked.work_us)
+
     def boot(self, raw: dict[str, Any]) -> int:
         """When the endpoint started, on the scene's clock; 0 long ago."""
         started_us = int(raw.get("startedAtMs", 0)) * 1000
--- /dev/null
+++ b/woadyard/whatif/service.py
@@ -0,0 +1,80 @@
+"""The calls of the plans, at the writer.
+
+GET  /registry/plans                 the book: in force, under way, history with errors
+POST /registry/plans                 {"weights", "stages"?, "by"?}: a proposal; its revision
+POST /registry/plans/REVISION/again  have it judged anew
+POST /registry/plans/REVISION/force  {"reason"}: the gate asks for no verdict
+POST /registry/plans/REVISION/go     let it out, through the gate
+POST /registry/plans/REVISION/halt   {"reason"}: the old weights come back
+POST /registry/plans/REVISION/withdraw
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from woadyard.errors import RecordError
+from woadyard.registry.answers import Handler, answer, at_writer, body
+from woadyard.registry.service import Registry
+from woadyard.whatif.planner import acting, list_digest
+from woadyard.whatif.plans import Plans, cut_for
+from woadyard.whatif.settings import Rules
+
+PATH = "/registry/plans"
+
+
+class Proposal(msgspec.Struct, forbid_unknown_fields=True):
+    weights: dict[str, float]
+    stages: list[float] = list(Rules().stages)
+    by: str = ""
+
+
+class Reason(msgspec.Struct, forbid_unknown_fields=True):
+    reason: str = ""
+
+
+def routes(registry: Registry) -> list[web.RouteDef]:
+    def book() -> Plans:
+        return registry.book(Plans)
+
+    def write(record: dict[str, Any]) -> web.Response:
+        registry.commit({"book": Plans.name, **record})
+        active = book().active
+        return answer({"revision": active.revision if active else None, "force": book().force.revision})
+
+    def revision(request: web.Request) -> int:
+        raw = request.match_info["revision"]
+        if not raw.isdecimal() or len(raw) > 15:
+            raise RecordError(f"no revision: {raw[:40]!r}", "see GET /registry/plans")
+        return int(raw)
+
+    async def told(request: web.Request) -> web.StreamResponse:
+        return answer(book().dump())
+
+    async def propose(request: web.Request) -> web.StreamResponse:
+        asked = await body(request, Proposal)
+        return write({"op": "propose", **msgspec.to_builtins(asked)})
+
+    async def go(request: web.Request) -> web.StreamResponse:
+        number, plan = revision(request), book().active
+        share = plan.stages[0] if plan is not None else 1.0
+        cut = cut_for(number, list(acting(registry)), share)
+        record = {"op": "begin", "revision": number, "list": list_digest(registry), "cut": cut}
+        return write({**record, "stage": 0})
+
+    def plain(op: str) -> Handler:
+        async def handle(request: web.Request) -> web.StreamResponse:
+            asked = await body(request, Reason) if request.can_read_body else Reason()
+            return write({"op": op, "revision": revision(request), "reason": asked.reason})
+
+        return handle
+
+    found = [web.get(PATH, told), web.post(PATH, at_writer(registry, propose))]
+    found.append(web.post(PATH + "/{revision}/go", at_writer(registry, go)))
+    for op in ("again", "force", "halt", "withdraw"):
+        found.append(web.post(f"{PATH}/{{revision}}/{op}", at_writer(registry, plain(op))))
+    return found
+
--- a/woadyard/whatif/settings.py
+++ b/woadyard/whatif/settings.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -55,9 +56,34 @@
             raise ValueError("stages must rise to 1")
 
 
-def read_rules(raw: Any) -> Rules:
+class PlansSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
+    """The file that the list service is given with `--plans`: the doors of the sidecars that record,
+    HOST:PORT by the sidecar's name, and the rules."""
+
+    doors: dict[str, str]
+    rules: Rules = Rules()
+    every_ms: Count = 1000
+    study_s: Positive = 300.0  # a study that takes longer is given up
+
+
+T = TypeVar("T")
+
+
+def _read(raw: Any, kind: type[T]) -> T:
     """`ConfigError` names the first fault; nothing is taken in part."""
     try:
-        return msgspec.convert(raw, Rules)
+        return msgspec.convert(raw, kind)
     except msgspec.ValidationError as error:
-        raise ConfigError(f"what-if rules: {error}", "mend the rules that the message names") from None
+        raise ConfigError(f"what-if: {error}", "mend the setting that the message names") from None
+
+
+def read_rules(raw: Any) -> Rules:
+    return _read(raw, Rules)
+
+
+def read_plans(path: Path) -> PlansSettings:
+    try:
+        raw = msgspec.json.decode(path.read_bytes())
+    except (OSError, msgspec.DecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    return _read(raw, PlansSettings)
--- a/woadyard/whatif/tally.py
+++ b/woadyard/whatif/tally.py
@@ -8,7 +8,8 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from woadyard.whatif.facts import ANSWERED, FAILED, REFUSED, Column, Facts
+from woadyard.whatif.facts import Column, Facts
+from woadyard.whatif.trace import ANSWERED, FAILED, REFUSED
 
 Floats = NDArray[np.float64]
 
--- a/woadyard/whatif/trace.py
+++ b/woadyard/whatif/trace.py
@@ -24,6 +24,8 @@
 FRAME = struct.Struct(">II")
 FRAME_MOST = 16 * 1024 * 1024
 OUT = -1  # outcome of an attempt that is still out
+# What a request came to.
+ANSWERED, REFUSED, FAILED = range(3)
 
 
 class Started(msgspec.Struct, array_like=True, tag="s", frozen=True):
@@ -97,6 +99,10 @@
         return self.status != OUT and all(one.outcome != OUT for one in self.tries)
 
 
+def end_of(status: int) -> int:
+    return REFUSED if status == 503 else FAILED if status >= 500 else ANSWERED
+
+
 State = Started | Retuned | Listed | Weighed
 Change = Retuned | Listed | Weighed
 Record = State | Asked
