Record in the sidecar and serve the recording at the door in pieces

With record in its file (and a console) a sidecar keeps what its driver tells of; GET /_trace?from=OFFSET answers in pieces that a fetch goes on from where a link broke.

--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -34,6 +35,7 @@
 from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver
 from woadyard.net.gossip import Gossip
+from woadyard.net.observe import Observers
 from woadyard.net.server import Server
 from woadyard.net.sharing import Shared
 from woadyard.net.state import LOOK_S, Seats
@@ -42,6 +44,9 @@
 from woadyard.ops.metrics import Metrics
 from woadyard.shared.store import Entry
 
+if TYPE_CHECKING:
+    from woadyard.net.recorder import Recorder
+
 LOG = logging.getLogger("woadyard")
 LIST_PATH = "/registry/instances"
 OTHER_SOCKETS = 32
@@ -107,7 +112,9 @@
     }
 
 
-def open_console(config: Config, server: Server, seats: Seats | None, guard: ShrinkGuard) -> Console | None:
+def open_console(
+    config: Config, server: Server, seats: Seats | None, guard: ShrinkGuard, recorder: Recorder | None
+) -> Console | None:
     if config.console is None:
         return None
     driver = server.driver
@@ -120,7 +127,10 @@
     def may_serve() -> bool:
         return since is None or driver.heard or driver.now() - since > UNHEARD_US
 
-    console = Console(routes(server, may_serve, guard), looks, LOOK_S)
+    calls = routes(server, may_serve, guard)
+    if recorder is not None:
+        calls[b"/_trace"] = Route(b"GET", recorder.piece, query=True)
+    console = Console(calls, looks, LOOK_S)
     try:
         console.open(*config.console)
     except (OSError, OverflowError) as error:
@@ -151,6 +161,17 @@
     return gossip
 
 
+def open_recorder(config: Config, driver: Driver, name: str) -> Recorder | None:
+    """Record what the driver sees, where the file says so."""
+    if config.record is None:
+        return None
+    from woadyard.net.recorder import Recorder
+
+    recorder = Recorder(config.record, name, config.seed, driver.now())
+    driver.observer = recorder if driver.observer is None else Observers(driver.observer, recorder)
+    return recorder
+
+
 def take_seat(
     config: Config, loop: asyncio.AbstractEventLoop, halve: Callable[[float], None]
 ) -> Seats | None:
@@ -194,6 +215,7 @@
         random.Random(config.seed),
     )
     loop.add_signal_handler(signal.SIGHUP, Reload(config, driver, discovery, guard))
+    recorder = open_recorder(config, driver, name)
     server = Server(driver, most)
     seats = take_seat(config, loop, server.share)
     try:
@@ -211,7 +233,7 @@
     except (OSError, OverflowError, ValueError) as error:
         raise ConfigError(f"can't listen: {error}") from None
     gossip = open_gossip(config, driver)
-    console = open_console(config, server, seats, guard)
+    console = open_console(config, server, seats, guard, recorder)
     ended = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, server.stop, ended.set)
     loop.add_signal_handler(signal.SIGINT, server.stop, ended.set)
--- a/woadyard/net/config.py
+++ b/woadyard/net/config.py
@@ -6,13 +6,16 @@
 from dataclasses import dataclass
 from math import inf
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
 from woadyard.interface import Locality, Settings
 from woadyard.shared.settings import SharedSettings, read_shared
 from woadyard.wire import WireError, read_settings
 
+if TYPE_CHECKING:
+    from woadyard.net.recorder import RecordSettings
+
 SOCKETS_DEFAULT = 1024
 LOG_LEVELS = ("debug", "info", "warning", "error")
 # What each class must say in a file read again, and a keyed one besides.
@@ -45,6 +48,7 @@
     log_level: str = "info"
     locality: Locality | None = None
     shared: SharedSettings | None = None
+    record: RecordSettings | None = None
     shrink_most: float = 1.0  # share of the list that may be lost at once and be believed
 
 
@@ -104,6 +108,7 @@
             log_level=log_level(raw),
             locality=locality(raw),
             shared=found,
+            record=record(raw, bool(console)),
             shrink_most=shrink_most(raw),
         )
     except FAULTS as error:
@@ -161,6 +166,17 @@
     return found
 
 
+def record(raw: dict[str, Any], door: bool) -> RecordSettings | None:
+    """What is recorded for what-if replays; None where the file says nothing."""
+    if raw.get("record") is None:
+        return None
+    if not door:
+        raise ConfigError("record needs a console: recordings are fetched at the door")
+    from woadyard.net.recorder import read_record  # a sidecar that records nothing loads nothing of it
+
+    return read_record(raw["record"])
+
+
 def shrink_most(raw: dict[str, Any]) -> float:
     """The share of the endpoints, above 0 and up to 1, that lists may lose at once
     before they are held back; 1 (nothing is held) where the file says none."""
--- a/woadyard/net/console.py
+++ b/woadyard/net/console.py
@@ -37,10 +37,12 @@
 
 @dataclass(frozen=True)
 class Route:
-    """One call: its method, and what it does with the body; `CallError` says no."""
+    """One call: its method, and what it does with the body, or (`query`) with what stands behind
+    the `?`; `CallError` says no. Bytes are answered as they are."""
 
     method: bytes
-    act: Callable[[str], str]
+    act: Callable[[str], str | bytes]
+    query: bool = False
 
 
 Routes = dict[bytes, Route]
@@ -106,30 +108,33 @@
     def on_message_complete(self) -> None:
         self.whole = True
 
-    def _act(self) -> str:
-        route = self.console.routes.get(self.target.partition(b"?")[0])
+    def _act(self) -> str | bytes:
+        path, _, query = self.target.partition(b"?")
+        route = self.console.routes.get(path)
         if route is None:
             raise CallError(HTTPStatus.NOT_FOUND, "unknown path")
         if self.parser.get_method() != route.method:
             raise CallError(HTTPStatus.METHOD_NOT_ALLOWED, f"this call is a {route.method.decode()}")
         try:
-            return route.act(self.body.decode().strip())
+            return route.act(query.decode() if route.query else self.body.decode().strip())
         except UnicodeDecodeError:
             raise CallError(HTTPStatus.BAD_REQUEST, "the body is no text") from None
 
     def _refuse(self, error: CallError) -> None:
         self._answer(error.status, str(error))
 
-    def _answer(self, status: HTTPStatus, text: str) -> None:
+    def _answer(self, status: HTTPStatus, told: str | bytes) -> None:
         """The answer, then the end; what still comes is dropped for a moment,
         as closing on unread bytes would reset the answer away."""
         self.over = True
         if self.transport is None or self.transport.is_closing():
             return
-        body = f"{text}\n".encode()
+        kind, body = b"application/octet-stream", told
+        if isinstance(body, str):
+            kind, body = b"text/plain; charset=utf-8", f"{body}\n".encode()
         self.transport.write(
-            b"HTTP/1.1 %d %b\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n"
-            b"Connection: close\r\n\r\n%b" % (status, status.phrase.encode(), len(body), body)
+            b"HTTP/1.1 %d %b\r\nContent-Type: %b\r\nContent-Length: %d\r\n"
+            b"Connection: close\r\n\r\n%b" % (status, status.phrase.encode(), kind, len(body), body)
         )
         if self.whole:
             self.transport.close()
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -35,7 +35,7 @@
 from woadyard.net.discovery import Discovery
 from woadyard.net.message import Answer, Call
 from woadyard.net.names import InForce, Names
-from woadyard.net.observe import Observer
+from woadyard.net.observe import Listener, Observer
 from woadyard.net.places import Place, Places
 from woadyard.net.requests import Requests
 from woadyard.net.sharing import Shared, Trust
@@ -78,6 +78,7 @@
         self.attempts = Attempts(self.turns, self.requests, self.listing, self.force, upstream, self.metrics)
         self.tell = self.turns.tell
         self.affinity_header = b""  # requests alike in it go to one endpoint, lower case
+        self.planned: Listener | None = None  # a plan's weights, resolved for each list
         self.discovery: Discovery | None = None
         self.heard = False  # a list of discovery, since the start
 
@@ -151,6 +152,8 @@
         self.tell(self.balancer.members, mode, [entry for entry, _ in read])
         if self.observer is not None:
             self.observer.listed(now_us(), mode, version, raw)
+        if self.planned is not None:
+            self.planned.listed(mode, raw)
         if self.shared is not None or self.trust.planned:
             self._trust()
         if self.shared is not None:
--- a/woadyard/net/observe.py
+++ b/woadyard/net/observe.py
@@ -34,6 +34,13 @@
         """Settings were put in force (first at the start)."""
 
 
+class Listener(Protocol):
+    """Told only of lists, once the module was."""
+
+    def listed(self, mode: int, raw: list[dict[str, Any]]) -> None:
+        """A list was put to use."""
+
+
 class Observers:
     """Several as one, told in their order."""
 
--- a/woadyard/net/recorder.py
+++ b/woadyard/net/recorder.py
@@ -14,10 +14,11 @@
 
 import msgspec
 
+from woadyard.errors import ConfigError
 from woadyard.interface import Arrival, Outcome, Send, Settings
 from woadyard.policy import mix
 from woadyard.whatif.ring import Ring
-from woadyard.whatif.trace import Asked, Listed, Record, Retuned, Started, State, Tried, Weighed
+from woadyard.whatif.trace import OUT, Asked, Listed, Record, Retuned, Started, State, Tried, Weighed
 
 # Requests encoded together; what a request under way takes in memory, and its part of the bound.
 BATCH = 32
@@ -33,6 +34,21 @@
     sample: Annotated[float, msgspec.Meta(gt=0.0, le=1.0)] = 1.0
 
 
+def read_record(raw: Any) -> RecordSettings | None:
+    """The file's `record`; None without it, ConfigError where it is none."""
+    if raw is None:
+        return None
+    try:
+        return msgspec.convert(raw, RecordSettings)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"record: {error}") from None
+
+
+def settled(asked: Asked) -> bool:
+    """Whether no attempt of it is out."""
+    return OUT not in [one.outcome for one in asked.tries]
+
+
 class Recorder:
     """An `Observer`. The ring is read on the door's thread, so it is held by a lock; the loop
     takes that once a request."""
@@ -75,13 +91,13 @@
             return
         tried = asked.tries[event.copy]
         tried.outcome, tried.delay, tried.report = event.outcome, event.delay_us, event.report
-        if asked.ended:
+        if asked.status != OUT and settled(asked):
             self._close(asked)
 
     def answered(self, now: int, request: int, status: int) -> None:
         if (asked := self.open.get(request)) is not None:
             asked.status, asked.answered = status, now
-            if asked.ended:
+            if settled(asked):
                 self._close(asked)
 
     def refused(self, now: int, request: int) -> None:
--- a/woadyard/whatif/__main__.py
+++ b/woadyard/whatif/__main__.py
@@ -24,7 +24,7 @@
 
 def study(folder: Path) -> Study:
     try:
-        ask = msgspec.json.decode((folder / "ask.json").read_bytes(), type=Ask)
+        ask: Ask = msgspec.json.decode((folder / "ask.json").read_bytes(), type=Ask)
     except msgspec.MsgspecError as error:
         raise PeerError(f"ask.json: {error}") from None
     data = [path.read_bytes() for path in sorted(folder.glob("*.trace"))]
--- a/woadyard/whatif/ring.py
+++ b/woadyard/whatif/ring.py
@@ -12,7 +12,7 @@
 # What the interpreter takes for a kept frame beside its bytes.
 EACH = 160
 # A piece of the trace holds so much at most, and one frame at least.
-PIECE_MOST = 256 * 1024
+PIECE_MOST = 64 * 1024
 
 
 class Piece(msgspec.Struct, frozen=True):
--- a/woadyard/whatif/service.py
+++ b/woadyard/whatif/service.py
@@ -77,4 +77,3 @@
     for op in ("again", "force", "halt", "withdraw"):
         found.append(web.post(f"{PATH}/{{revision}}/{op}", at_writer(registry, plain(op))))
     return found
-
