Take out the punctual goal, which no page of this service names

The goal came with another customer's site; neither the wire's page nor the protocol's has the key, so nobody here can set it.

Change: the share of the aim that it shortened, and its two settings.

--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -240,7 +240,7 @@
         {"aim-us": 5, "deadline-us": 9, "repeat": "retryable"},
     ],
     "invariants": {"key-rest-us": 50_000, "full-unproven": True},
-    "goal": {"whole": 0.2, "worst-window": 0.3, "punctual": 0.4, "miss-allowed": 0.02, "worst-tenant": 0.1},
+    "goal": {"whole": 0.2, "worst-window": 0.3, "worst-tenant": 0.1},
     "prices": {"late-fail": 0.08, "peer": 0.01, "discovery": 0.02, "handshake": 0.03},
     "ceilings": {"cpu-us-per-s": 800_000, "cpu-us-per-request": 10.0},
     "family-info": {"warm-keys": True, "passes-deadline": True},
@@ -258,7 +258,7 @@
         0,
     )
     assert (read.key_rest_us, read.full_unproven) == (50_000, True)
-    assert read.goal == interface.Goal(0.2, 0.3, 0.0, 0.1, 0.4, 0.02)
+    assert read.goal == interface.Goal(0.2, 0.3, 0.0, 0.1)
     assert (read.late_fail_price, read.peer_price, read.discovery_price) == (0.08, 0.01, 0.02)
     assert (read.cpu_us_per_s, read.cpu_us_per_request) == (800_000, 10.0)
     assert read.warm_keys and read.passes_deadline
@@ -273,7 +273,7 @@
         False,
         False,
     )
-    assert not read.classes[0].sequential and read.goal.punctual == 0.0
+    assert not read.classes[0].sequential
 
 
 @pytest.mark.parametrize("broken", [{"classes": []}, {"instances": 0}, {"cold_us": -1}])
--- a/woadyard/interface.py
+++ b/woadyard/interface.py
@@ -79,8 +79,6 @@
     worst_window: float = 0.0
     worst_class: float = 0.0
     worst_tenant: float = 0.0
-    punctual: float = 0.0  # worth counts in full only while few requests miss
-    miss_allowed: float = 0.0  # punctual: the share that may miss; at 5 times it nothing counts
 
 
 @dataclass(slots=True, frozen=True)
--- a/woadyard/policy/balancer.py
+++ b/woadyard/policy/balancer.py
@@ -457,11 +457,6 @@
         self.longest_aim = max(c.aim_us for n, c in enumerate(settings.classes) if n not in settings.retired)
         self.rate_memory = RATE_MEMORY * self.longest_aim
         self.latencies += [Latency() for _ in settings.classes[len(self.latencies) :]]
-        # Guards punctuality where it counts: with tails that fall off evenly, a share of 1 - ADMIT_GOOD past
-        # this part of the aim is as many misses as are allowed.
-        self.good_part, goal = 1.0, settings.goal
-        if goal.punctual > 0.0 and 0.0 < goal.miss_allowed < 1.0:
-            self.good_part = min(1.0, log(1.0 - ADMIT_GOOD) / log(goal.miss_allowed))
         old, known = self.zones, settings.locality
         if known is None or old is None or old.s != known or len(old.zones) != settings.zones:
             self.zones = Zones(known, settings.zone, settings.zones) if known else None
@@ -1067,7 +1062,7 @@
         which fewer requests would not mend."""
         if outcome not in (ERROR, RESET):
             took = (request.streaming or now) - request.arrived
-            good = outcome == OK and took <= self.good_part * request.cls.aim_us
+            good = outcome == OK and took <= request.cls.aim_us
             self.admission.note(now, took, good, outcome == OK)
 
     def head(self, now: int, event: Outcome) -> list[Action]:
--- a/woadyard/wire.py
+++ b/woadyard/wire.py
@@ -207,8 +207,6 @@
             worst_window=float(goal.get("worst-window", 0.0)),
             worst_class=float(goal.get("worst-class", 0.0)),
             worst_tenant=float(goal.get("worst-tenant", 0.0)),
-            punctual=float(goal.get("punctual", 0.0)),
-            miss_allowed=float(goal.get("miss-allowed", 0.0)),
         ),
         cross_zone_price=float(prices.get("cross-zone", 0.0)),
         probe_price=float(prices.get("probe", 0.0)),
