Split the module into small objects that a balancer composes; no decision changes

Need: policy/balancer.py had 1,126 lines and one class for everything.

The tests of the module are split by the same subjects; two other tests name the parts they look into.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -23,6 +23,7 @@
 MS = 1_000
 SECOND = 1_000_000
 PAGE = RequestClass(effect=SAFE, aim_us=200 * MS, deadline_us=SECOND)
+PATIENT = RequestClass(effect=SAFE, aim_us=2_500 * MS, deadline_us=6 * SECOND)
 SETTINGS = Settings(
     classes=(PAGE,),
     can_cancel=True,
@@ -69,3 +70,8 @@
         done = Outcome(rid, 0, sent[0].endpoint, OK, delay, over=True)
         self.balancer.outcome(now + delay, done)
         return True
+
+
+def left(driver: Driver) -> int:
+    """An endpoint of the left group: ties go there, so one request at a time draws it."""
+    return driver.balancer.ring.groups[0][0][0].id
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -159,7 +159,7 @@
 def test_an_answer_while_the_body_still_comes_does_not_cut_it_off() -> None:
     async def main() -> None:
         async with sidecar(Endpoint(), known=False) as one:
-            one.driver.balancer.banned[7] = None  # all endpoints are out: refused at once
+            one.driver.balancer.membership.banned[7] = None  # all endpoints are out: refused at once
             reader, writer = await one.connect()
             raw = request("pay", LARGE)
             writer.write(raw[:70_000])
@@ -223,7 +223,7 @@
 
     async def main() -> None:
         async with sidecar(Endpoint(), known=False) as one:
-            one.driver.balancer.banned[7] = None  # all endpoints are out: refused at once
+            one.driver.balancer.membership.banned[7] = None  # all endpoints are out: refused at once
             reader, writer = await one.connect()
             writer.write(request("pay", LARGE)[:70_000])
             assert (await read_message(reader)).start.split()[1] == "503"
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -88,7 +88,7 @@
 
             def told(version: int, whole: bool, *entries: dict[str, Any]) -> set[str]:
                 one.driver.listed(version, whole, list(entries))
-                ready = {numbers[endpoint.id] for _, endpoint in one.driver.balancer.ring}
+                ready = {numbers[endpoint.id] for _, endpoint in one.driver.balancer.ring.order}
                 assert ready == {numbers[number] for number in one.upstream.pools}
                 return ready
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -46,6 +46,9 @@
     Timer,
 )
 from woadyard.policy import Balancer
+from woadyard.policy.order import Order
+from woadyard.policy.request import Request
+from woadyard.policy.ring import Ring
 
 MS = 1_000
 SECOND = 1_000_000
@@ -292,7 +295,7 @@
     unanswered = [rid for rid, one in ledger.asked.items() if not one.over]
     assert not unanswered, "every request is answered in the end"
     assert not ledger.balancer.requests
-    assert not any(turn.line or turn.out for turn in ledger.balancer.turns.values())
+    assert not any(turn.line or turn.out for turn in ledger.balancer.order.turns.values())
 
 
 def run_twice(seed: int, steps: list[tuple[str, *tuple[object, ...]]]) -> list[list[tuple[int, int]]]:
@@ -316,15 +319,15 @@
 
 
 @pytest.mark.parametrize(
-    ("guard", "broken", "cls", "why"),
+    ("part", "guard", "broken", "cls", "why"),
     [
-        ("_has_turn", True, 5, "one of a key at a time"),
-        ("_may_repeat", True, 1, "no effect twice"),
-        ("_remove", False, 0, "only to endpoints that are ready"),
+        (Order, "has_turn", True, 5, "one of a key at a time"),
+        (Request, "may_repeat", True, 1, "no effect twice"),
+        (Ring, "remove", False, 0, "only to endpoints that are ready"),
     ],
 )
 def test_the_ledger_sees_each_rule_broken(
-    monkeypatch: pytest.MonkeyPatch, guard: str, broken: bool, cls: int, why: str
+    monkeypatch: pytest.MonkeyPatch, part: type, guard: str, broken: bool, cls: int, why: str
 ) -> None:
     """A checker that can't fail proves nothing: take one guard away at a time."""
 
@@ -339,6 +342,6 @@
         ledger.storm(ERROR, 2)
 
     play()
-    monkeypatch.setattr(Balancer, guard, lambda *_: broken)
+    monkeypatch.setattr(part, guard, lambda *_: broken)
     with pytest.raises(AssertionError, match=why):
         play()
--- /dev/null
+++ b/woadyard/policy/endpoint.py
@@ -0,0 +1,85 @@
+"""What a copy knows of one endpoint, and the running figures that it learns from."""
+
+from math import exp
+
+from woadyard.interface import Entry
+
+MAX_HELD = 1e6  # attempts out at an endpoint where no limit is shared
+LEARN_SAMPLES = 16  # memory of a service at most: a few tell speeds of 3:1 apart
+LATENCY_GAIN, LATENCY_CLIP = 0.05, 2.0  # of the copy's latency mean and deviation, as in TCP's timer
+
+
+class Endpoint:
+    def __init__(self, entry: Entry, kinds: int) -> None:
+        self.id, self.entry = entry.endpoint, entry
+        self.place(entry)
+        self.boot, self.rating = entry.boot, entry.rating
+        self.ready = self.own = False  # own: it stands on this copy's arc
+        self.inflight = self.quiet_since = 0
+        self.moving = 0  # of those in flight, bodies and answers on their way: no answer is owed yet
+        self.crowded = 0  # it was full: nothing is sent before this
+        self.budget, self.budget_at = 0.0, 0
+        self.cap = MAX_HELD  # attempts out from here at most
+        self.trust = 1.0  # what others' verdicts leave of its weight
+        self.accused: str | None = None  # the verdict that the others were told
+        self.renew(kinds)
+
+    def place(self, entry: Entry) -> None:
+        # Whole cells side by side, so that a repeat bound to a cell finds warm connections; both parts
+        # mixed, as ids tell nothing.
+        self.key = mix(entry.cell), mix(entry.endpoint), entry.endpoint
+        self.cell, self.zone = entry.cell, entry.zone
+
+    def renew(self, kinds: int) -> None:
+        """What is learned of one process, with so many kinds of requests."""
+        self.slowness, self.slowness_at, self.samples = 1.0, 0, 0  # observed latency over the peers' mean
+        # By class and tenant: health, when that was, failures in a row (halved by an answer).
+        self.health = [(1.0, 0, 0.0)] * kinds
+
+    def retune(self, kinds: int, same: bool) -> None:
+        """Classes were added, or (not the same) tenants came and went."""
+        known = self.health if same else []
+        self.health = known + [(1.0, 0, 0.0)] * (kinds - len(known))
+
+
+def mix(value: int) -> int:
+    """A fixed 64-bit mixing (splitmix64), the same in every copy."""
+    value = (value + 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
+    return value ^ (value >> 31)
+
+
+class Latency:
+    """Mean and mean deviation of served attempts, µs."""
+
+    def __init__(self) -> None:
+        self.mean = self.deviation = 0.0
+        self.samples = 0
+
+    def add(self, value: float) -> None:
+        self.samples += 1
+        gain = max(LATENCY_GAIN, 1.0 / self.samples)
+        error = value - self.mean
+        if self.samples > LEARN_SAMPLES:  # a few choked endpoints must not set what is usual
+            error = min(error, LATENCY_CLIP * self.deviation)
+        self.mean += gain * error
+        if self.samples > 1:
+            self.deviation += gain * (abs(error) - self.deviation)
+
+
+class Rate:
+    """Events per µs with exponential forgetting, unbiased from the start."""
+
+    def __init__(self, memory_us: float, now: int) -> None:
+        self.memory, self.sum = memory_us, 0.0
+        self.at = self.began = now
+
+    def add(self, now: int) -> None:
+        self.sum = self.sum * exp((self.at - now) / self.memory) + 1.0
+        self.at = now
+
+    def get(self, now: int) -> float:
+        # 0.02: a shorter look can't tell a rate from chance.
+        seen = max(0.02, 1.0 - exp((self.began - now) / self.memory))
+        return self.sum * exp((self.at - now) / self.memory) / (self.memory * seen)
--- a/woadyard/policy/zones.py
+++ b/woadyard/policy/zones.py
@@ -4,8 +4,6 @@
 sends the rest to zones with more, its region's first. One whose outcomes fail is left whole.
 """
 
-from __future__ import annotations
-
 from collections.abc import Sequence
 from dataclasses import dataclass
 from itertools import accumulate
