--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -111,12 +111,12 @@
         async with sidecar(endpoint, registry=registry) as one:
             _, watch = await registry.asked.get()
             push(watch, 42, True)
-            while one.driver.balancer.ring:
+            while one.driver.balancer.ring.order:
                 await asyncio.sleep(0)
             refused = await one.ask(request(deadline_ms=60))
             assert refused.start.split()[1] == "503" and not endpoint.got
             push(watch, 43, True, endpoint.entry("s-0"))
-            while not one.driver.balancer.ring:
+            while not one.driver.balancer.ring.order:
                 await asyncio.sleep(0)
             assert (await one.ask(request(rid="r2"))).body == b"ok"
 
