--- a/woadyard/experiment/__init__.py
+++ b/woadyard/experiment/__init__.py
@@ -1,11 +1,29 @@
 """Sequential tests of traffic splits: end an experiment by rule, at any look, and no sooner.
 
-Only services and tools import this (it needs `scipy`); a sidecar's counts are in
-`woadyard.net.evidence`.
+    stopper = Stopper(Plan())
+    stopper.add(source, number, at_s, "a", tried, good)
+    stopper.decide(at_s).winner
+
+`Stopper` needs `scipy`, so it is loaded when first asked for: a sidecar and a list service without
+an experiment never do.
 """
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
 from woadyard.experiment.plan import Plan
 from woadyard.experiment.rules import Decision, State
-from woadyard.experiment.stopper import Stopper
+
+if TYPE_CHECKING:
+    from woadyard.experiment.stopper import Stopper
 
 __all__ = ["Decision", "Plan", "State", "Stopper"]
+
+
+def __getattr__(name: str) -> Any:
+    if name != "Stopper":
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from woadyard.experiment.stopper import Stopper
+
+    return Stopper
--- /dev/null
+++ b/woadyard/experiment/book.py
@@ -0,0 +1,138 @@
+"""The book `experiments` of the replicated log.
+
+Records, all with `name` but the evidence:
+
+- `draft` (`draft`), `start`, `reshare` (`shares`), `applied`, `close`;
+- `decide` (`decision`): how it ended. Once, whoever looks: a second end is refused;
+- `evidence` (`reports`: run, evidence and whether its sidecar is shut out).
+
+At most one experiment runs, or has ended and is not closed. `revision` grows with each change that
+sidecars are to act on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from woadyard.errors import PeerError, PlanError, RecordError
+from woadyard.experiment.messages import Directive, Name, read_evidence
+from woadyard.experiment.rules import Decision, State
+from woadyard.experiment.trial import Draft, Trial
+
+DRAFT, START, RESHARE, EVIDENCE = "draft", "start", "reshare", "evidence"
+DECIDE, APPLIED, CLOSE = "decide", "applied", "close"
+KEPT_MOST = 100  # experiments; the oldest closed ones go first
+_BAD = (KeyError, TypeError, ValueError, AttributeError, PlanError, PeerError, msgspec.ValidationError)
+
+
+class ExperimentsBook:
+    """`forgotten` counts closed experiments that went for room."""
+
+    name = "experiments"
+
+    def __init__(self) -> None:
+        self.trials: dict[str, Trial] = {}
+        self.revision = 0
+        self.forgotten = 0
+
+    @property
+    def active(self) -> Trial | None:
+        """The one that sidecars act on."""
+        idle = (State.DRAFT, State.CLOSED)
+        return next((one for one in self.trials.values() if one.state not in idle), None)
+
+    def directive(self) -> Directive | None:
+        """What sidecars are to act on; None where there never was an experiment."""
+        if not self.revision:
+            return None
+        active = self.active
+        return active.directive(self.revision) if active is not None else Directive(self.revision)
+
+    # --- The book ---------------------------------------------------------------------
+
+    def check(self, record: Mapping[str, Any]) -> None:
+        """On a copy of the one experiment that the record changes; evidence is only read."""
+        try:
+            if record["op"] == EVIDENCE:
+                self._reports(record)
+                return
+            old = self.trials.get(record["name"])
+            self._change(old and Trial.load(old.dump()), record)
+        except _BAD as error:
+            raise _refused(error) from None
+
+    def apply(self, record: Mapping[str, Any]) -> bool:
+        try:
+            if record["op"] == EVIDENCE:
+                self._evidence(record)
+                return False
+            trial = self._change(self.trials.get(record["name"]), record)
+        except _BAD as error:
+            raise _refused(error) from None
+        self.trials[trial.name] = trial
+        self.revision += record["op"] in (START, RESHARE, DECIDE, CLOSE)
+        self._bound()
+        return True
+
+    def _change(self, trial: Trial | None, record: Mapping[str, Any]) -> Trial:
+        """The trial after the record, which may be the very one given."""
+        op, at = record["op"], int(record["at"]) // 1000
+        if op == DRAFT:
+            name = msgspec.convert(record["name"], Name)
+            if trial is not None and trial.state is not State.DRAFT:
+                raise PlanError(f"there is an experiment {name!r} that is {trial.state}", "take another name")
+            return Trial(name, msgspec.convert(record["draft"], Draft))
+        if trial is None:
+            raise PlanError(f"no such experiment: {record['name']!r}", "see GET /registry/experiments")
+        if op == START:
+            if self.active is not None:
+                raise PlanError(f"experiment {self.active.name!r} is not closed", "close it first")
+            trial.start(at)
+        elif op == RESHARE:
+            trial.reshare(at, record["shares"])
+        elif op == DECIDE:
+            trial.decide(at, msgspec.convert(record["decision"], Decision))
+        elif op == APPLIED:
+            trial.apply(at)
+        elif op == CLOSE:
+            trial.close()
+        else:
+            raise PlanError(f"the experiments have no {op!r}")
+        return trial
+
+    def _reports(self, record: Mapping[str, Any]) -> list[tuple[str, Any, bool]]:
+        told = msgspec.convert(record["reports"], list[tuple[str, Any, bool]])
+        return [(source, read_evidence(raw), out) for source, raw, out in told]
+
+    def _evidence(self, record: Mapping[str, Any]) -> None:
+        reports, at, trial = self._reports(record), int(record["at"]) // 1000, self.active
+        if trial is None or trial.evidence is None or trial.state is not State.RUNNING:
+            return  # late: what ended is decided
+        for source, told, out in reports:
+            trial.evidence.take(source, told, at, trial.draft.plan.arms, self.revision, out)
+
+    def _bound(self) -> None:
+        closed = [name for name, one in self.trials.items() if one.state is State.CLOSED]
+        for name in closed[: max(len(self.trials) - KEPT_MOST, 0)]:
+            del self.trials[name]
+            self.forgotten += 1
+
+    def dump(self) -> dict[str, Any]:
+        trials = [one.dump() for one in self.trials.values()]
+        return {"revision": self.revision, "forgotten": self.forgotten, "trials": trials}
+
+    def load(self, raw: Any) -> None:
+        try:
+            trials = {one["name"]: Trial.load(one) for one in raw["trials"]}
+            revision, forgotten = int(raw["revision"]), int(raw["forgotten"])
+        except _BAD as error:
+            raise _refused(error) from None
+        self.trials, self.revision, self.forgotten = trials, revision, forgotten
+
+
+def _refused(error: BaseException) -> RecordError:
+    remedy = error.remedy if isinstance(error, PlanError) else None
+    return RecordError(str(error) if isinstance(error, PlanError) else f"no such record: {error!r}", remedy)
--- a/woadyard/experiment/stopper.py
+++ b/woadyard/experiment/stopper.py
@@ -34,8 +34,10 @@
     Evidence may come late, twice and in any order; each row counts once. An end, once decided,
     stays, whatever comes later."""
 
-    def __init__(self, plan: Plan) -> None:
+    def __init__(self, plan: Plan, start_s: float | None = None) -> None:
+        """`start_s`: when it began, from which its least and most time run; none: the first row."""
         self.plan = plan
+        self._start_s = math.nan if start_s is None else _time(start_s)
         self.tried = [0] * len(plan.arms)
         self.repeated = 0  # rows that had been counted before
         self._arms = {name: index for index, name in enumerate(plan.arms)}
@@ -70,12 +72,15 @@
         *,
         failed: SupportsIndex = 0,
         slow: SupportsIndex = 0,
+        drawn: SupportsIndex | None = None,
         cls: Hashable = "",
         zone: Hashable = "",
     ) -> bool:
         """Requests assigned to `arm` since the source's number before: tried, of them good, failed
-        and over the latency bound. False where this row (source, number, arm, cls, zone) was
-        counted before. Raises `RecordError`, and then nothing was counted."""
+        and over the latency bound. `drawn` is how many were assigned, where some have no end yet
+        (`tried` counts those that have one): shares are judged by it. False where this row, known
+        by source, number, arm, cls and zone, was counted before. Raises `RecordError`, and then
+        nothing was counted."""
         index = self._arms.get(arm) if isinstance(arm, str) else None
         if index is None:
             raise RecordError(f"no such arm: {arm!r}", f"the arms are {', '.join(self.plan.arms)}")
@@ -83,6 +88,7 @@
         counts = _whole("tried", tried), _whole("good", good), _whole("failed", failed), _whole("slow", slow)
         if max(counts) > counts[0]:
             raise RecordError(f"more good, failed or slow than tried: {counts}", "send counts of one row")
+        share = counts[0] if drawn is None else _whole("drawn", drawn)
         at = _time(at_s)
         seen = self._seen_of(source)
         gaps = seen.gaps
@@ -90,8 +96,8 @@
             self.repeated += 1
             return False
         self._gaps += seen.gaps - gaps
-        if counts[0]:
-            self._count(at, self._stratum(cls, zone), index, counts)
+        if counts[0] or share:
+            self._count(at, self._stratum(cls, zone), index, counts, share)
         return True
 
     def reshare(self, at_s: float, shares: Any) -> None:
@@ -121,13 +127,15 @@
             self._strata.add(of)
         return of
 
-    def _count(self, at: float, of: Hashable, arm: int, counts: tuple[int, int, int, int]) -> None:
+    def _count(
+        self, at: float, of: Hashable, arm: int, counts: tuple[int, int, int, int], drawn: int
+    ) -> None:
         self.tried[arm] += counts[0]
         self._first_s = at if math.isnan(self._first_s) else min(at, self._first_s)
         self._newest_s = at if math.isnan(self._newest_s) else max(at, self._newest_s)
         for layer in self._layers:
             unit = layer.add(at, of, arm, counts)
-            layer.ratio.add(unit, arm, counts[0], self._shares_in(layer, unit))
+            layer.ratio.add(unit, arm, drawn, self._shares_in(layer, unit))
         if len(self._layers) > 1 and self._enough(self._layers[-1]):
             del self._layers[:-1]
 
@@ -172,7 +180,7 @@
             if state is not State.RUNNING:
                 return self._finish(state, why, now, missing, winner=winner)
             wait = why
-        if now - self._first_s >= self.plan.maximum_s:
+        if now - self._began() >= self.plan.maximum_s:
             return self._finish(State.EXPIRED, f"no end in {self.plan.maximum_s:g} s: {wait}", now, missing)
         return self._tell(State.RUNNING, wait, now, missing)
 
@@ -180,6 +188,9 @@
         self._now_s = max(self._now_s, _time(at_s))
         return self._now_s
 
+    def _began(self) -> float:
+        return self._first_s if math.isnan(self._start_s) else self._start_s
+
     def _mismatch(self) -> tuple[float, float]:
         """Evidence against the shares: settled, and of all but the newest unit."""
         if math.isnan(self._newest_s):
@@ -218,7 +229,7 @@
         plan = self.plan
         if math.isnan(self._first_s):
             return "no evidence yet"
-        if now - self._first_s < plan.minimum_s:
+        if now - self._began() < plan.minimum_s:
             return f"not yet {plan.minimum_s:g} s"
         if min(self.tried) < plan.minimum_tried:
             return f"an arm has fewer than {plan.minimum_tried} requests"
