--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -29,14 +29,18 @@
         "--listen", f"127.0.0.1:{port}", *more, stderr=asyncio.subprocess.PIPE,
     )  # fmt: skip
     assert process.stderr is not None
-    assert json.loads(await process.stderr.readline())["event"] == "listening"
+    while json.loads(await process.stderr.readline())["event"] != "listening":
+        pass
     return process
 
 
-async def ask(port: int, method: str, target: str, body: bytes = b"", text: bool = False) -> tuple[int, Any]:
+async def ask(
+    port: int, method: str, target: str, body: bytes = b"", text: bool = False, headers: str = ""
+) -> tuple[int, Any]:
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(
-        f"{method} {target} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+        f"{method} {target} HTTP/1.1\r\nHost: x\r\n{headers}Content-Length: {len(body)}\r\n\r\n".encode()
+        + body
     )
     back = await read_message(reader)
     writer.close()
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -114,7 +114,7 @@
         if self.discovery is not None:
             self.discovery.generation = int(known["generation"]) if known else 0
             self.discovery.on_failed = self._list_failed
-            self.discovery.on_anew = self.places.left.clear
+            self.discovery.on_anew = self.listing.left.clear
             if self.discovery.pushed:
                 self.discovery.watch(True)
 
