--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -116,6 +116,22 @@
     run(main())
 
 
+def test_a_write_that_was_answered_is_at_the_replica_that_takes_the_writers_place(tmp_path: Path) -> None:
+    async def main() -> None:
+        ports = [free_port(), free_port()]
+        writer = await service(tmp_path / "a", ports[0], "--copies", "1")
+        assert (await register(ports[0], "s-0"))[0] == 503, "nobody follows: not settled, and said"
+        second = await replica(tmp_path / "b", ports[1], ports[0])
+        answered = [n for n in range(20) if (await register(ports[0], f"s-{n}"))[0] == 200]
+        await end(writer, second)
+        second = await service(tmp_path / "b", ports[1])
+        kept = names((await ask(ports[1], "GET", PATH))[1])
+        assert len(answered) > 15 and {f"s-{n}" for n in answered} <= set(kept)
+        await end(second)
+
+    run(main())
+
+
 OF: dict[str, Any] = {"lineage": "ab", "term": 5, "generation": 7}
 
 
--- a/woadyard/lists/service.py
+++ b/woadyard/lists/service.py
@@ -113,16 +113,16 @@
         ttl_ms = query(request, PutQuery).ttl_ms
         entry = await body(request, dict[str, Any])
         name = request.match_info["name"]
-        return self._write({"op": PUT, "entry": {**entry, "instanceId": name}, "ttl_us": ttl_ms * 1000})
+        return await self._write({"op": PUT, "entry": {**entry, "instanceId": name}, "ttl_us": ttl_ms * 1000})
 
     async def renew(self, request: web.Request) -> web.StreamResponse:
-        return self._write({"op": RENEW, "id": request.match_info["name"]})
+        return await self._write({"op": RENEW, "id": request.match_info["name"]})
 
     async def drop(self, request: web.Request) -> web.StreamResponse:
-        return self._write({"op": DROP, "id": request.match_info["name"]})
+        return await self._write({"op": DROP, "id": request.match_info["name"]})
 
-    def _write(self, record: Record) -> web.StreamResponse:
-        self.registry.commit(record)
+    async def _write(self, record: Record) -> web.StreamResponse:
+        await self.registry.settle(self.registry.commit(record))
         return answer(Written(self.book.version, self.book.term, self.registry.host.lineage))
 
 
--- a/woadyard/registry/__init__.py
+++ b/woadyard/registry/__init__.py
@@ -20,6 +20,11 @@
         "--peers", metavar="HOST:PORT,...", default="",
         help="the other processes of this log: asked each second who leads",
     )  # fmt: skip
+    parser.add_argument(
+        "--copies", metavar="N", type=int, default=0,
+        help="answer a write to the list once N replicas hold it, so that none that was answered "
+        "is lost with this process",
+    )  # fmt: skip
     parser.add_argument(
         "--take-over", action="store_true",
         help="write on from this log though another one, of a greater term, was heard of; "
--- a/woadyard/registry/answers.py
+++ b/woadyard/registry/answers.py
@@ -15,14 +15,14 @@
 
 from woadyard.errors import PeerError, PlanError, RecordError, StateError, TraceError, WoadyardError
 from woadyard.registry.refusal import Refusal
-from woadyard.registry.service import DeposedError, Registry
+from woadyard.registry.service import DeposedError, Registry, UnsettledError
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 T = TypeVar("T")
 # The status of an error of a call; the first that fits.
 STATUS: tuple[tuple[type[WoadyardError], int], ...] = (
-    (DeposedError, 503), (StateError, 507), (RecordError, 400), (PeerError, 400), (PlanError, 409),
-    (TraceError, 422),
+    (DeposedError, 503), (UnsettledError, 503), (StateError, 507), (RecordError, 400), (PeerError, 400),
+    (PlanError, 409), (TraceError, 422),
 )  # fmt: skip
 TERM_HEADER = "X-Term"  # LINEAGE:TERM, of the log that the caller acts on
 TERM_VALUE = re.compile(r"([0-9a-f]{1,64}):([0-9]{1,16})")
--- a/woadyard/registry/command.py
+++ b/woadyard/registry/command.py
@@ -67,7 +67,7 @@
             address(arguments.follow)
         if arguments.peers:
             addresses(arguments.peers)
-        registry = Registry(Journal(arguments.data), writer=arguments.follow)
+        registry = Registry(Journal(arguments.data), writer=arguments.follow, copies=arguments.copies)
         uvloop.run(run(registry, arguments))
     except (RecordError, StateError) as error:
         LOG.error("can't start", extra=error.fields())
--- a/woadyard/registry/replication.py
+++ b/woadyard/registry/replication.py
@@ -1,20 +1,22 @@
 """The calls between the processes of one log: its records, and who leads.
 
-- `GET /registry/log?after=INDEX&chain=HASH&wait=S&lineage=L&term=T`: for replicas, the
+- `GET /registry/log?after=INDEX&chain=HASH&wait=S&lineage=L&term=T&who=NAME`: for replicas, the
   records past INDEX, or the state whole where HASH is not this log's there; once there is
-  one, or after S seconds. T is the greatest term that the replica heard of.
+  one, or after S seconds. T is the greatest term that the replica heard of, NAME its own.
 - `GET /registry/term`: who leads, `{"lineage", "term", "seen", "leads", "writer"}`.
 """
 
 from __future__ import annotations
 
+import time
+
 import msgspec
 from aiohttp import web
 
 from woadyard.registry.answers import answer, at_writer, query
 from woadyard.registry.host import NO_CHAIN
 from woadyard.registry.service import Registry
-from woadyard.registry.waiters import LOG_TOPIC
+from woadyard.registry.waiters import COPIES_TOPIC, LOG_TOPIC
 
 LOG_PATH, TERM_PATH = "/registry/log", "/registry/term"
 WAIT_MOST_S = 60.0
@@ -26,6 +28,7 @@
     chain: str = NO_CHAIN
     lineage: str = ""
     term: int = 0
+    who: str = ""
 
 
 class Standing(msgspec.Struct):
@@ -44,6 +47,9 @@
         asked = query(request, LogQuery)
         registry.counts.reads.labels("log").inc()
         registry.hear(asked.lineage, asked.term, f"a replica at {request.remote}")
+        if asked.who and registry.journal.tail.chain_at(asked.after) == asked.chain:
+            registry.copies.proven(asked.who, asked.after, time.monotonic())
+            registry.waiters.wake(COPIES_TOPIC)
         if asked.after == registry.host.applied:
             wait_s = min(WAIT_MOST_S, max(0.0, asked.wait))
             await registry.waiters.until(
--- a/woadyard/registry/service.py
+++ b/woadyard/registry/service.py
@@ -20,15 +20,17 @@
 from woadyard.errors import RecordError, StateError
 from woadyard.registry.book import Book, Record, Timed
 from woadyard.registry.books import books
+from woadyard.registry.copies import Copies
 from woadyard.registry.counts import Counts
 from woadyard.registry.host import LEAD, SALT_BITS, TERM_MOST, Host, next_term
 from woadyard.registry.log import Journal
-from woadyard.registry.waiters import LOG_TOPIC, Waiters
+from woadyard.registry.waiters import COPIES_TOPIC, LOG_TOPIC, Waiters
 
 SNAPSHOT_EVERY = 1_000  # records between snapshots
 RECORDS_MOST = 500  # told to a replica at once
 # A term further on than any number of restarts explains is a lie, and deposes nobody.
 ROUNDS_MOST = 10_000
+SETTLE_S = 2.0  # a write waits so long for its copies
 AGAIN_S = 1.0  # a record that was due and could not be written is tried again
 LOG = logging.getLogger(__name__)
 B = TypeVar("B", bound=Book)
@@ -43,6 +45,12 @@
     )
 
 
+class UnsettledError(StateError):
+    """A write is on this log and not yet on as many replicas as have to hold it."""
+
+    remedy = "make the call again; see whether the replicas run and follow"
+
+
 def steady() -> Callable[[], int]:
     """Wall time as it is now, going on by the monotonic clock: a clock that is set
     ends no lease. Over a restart every lease runs anew, so none counts on the first."""
@@ -55,7 +63,11 @@
     address of the process that this one follows; None where it leads, or led."""
 
     def __init__(
-        self, journal: Journal, clock: Callable[[], int] | None = None, writer: str | None = None
+        self,
+        journal: Journal,
+        clock: Callable[[], int] | None = None,
+        writer: str | None = None,
+        copies: int = 0,
     ) -> None:
         self.journal, self.clock, self.writer = journal, clock or steady(), writer
         self.host = Host(books())
@@ -63,6 +75,7 @@
         self.seen = max(journal.seen(), self.host.term)  # the greatest term told of
         self.stale = False  # a replica that has not heard of its writer lately
         self.deposed = False
+        self.copies = Copies(copies)
         self.waiters = Waiters()
         self.counts = Counts()
         self._count()
@@ -122,6 +135,21 @@
         self.arm()
         return self.host.applied
 
+    def held(self) -> int:
+        """The index up to which the replicas that have to are known to hold the log: what
+        stands there outlives this process and its disk."""
+        return self.copies.held(self.host.applied, time.monotonic())
+
+    async def settle(self, index: int) -> None:
+        """Returns once record `index` is held by the `--copies` replicas that have to hold
+        it, at once where that is none; `UnsettledError` after `SETTLE_S`."""
+        if self.copies.needed and not await self.waiters.until(
+            COPIES_TOPIC, lambda: self.held() >= index or not self.leads, SETTLE_S
+        ):
+            raise UnsettledError(f"record {index} is not yet at {self.copies.needed} replicas")
+        if not self.leads:
+            raise DeposedError(f"record {index} may be lost: another process leads")
+
     def write(self, record: Record) -> tuple[int, str]:
         """`commit`, as an HTTP status and a body in JSON."""
         try:
--- a/woadyard/registry/waiters.py
+++ b/woadyard/registry/waiters.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-LOG_TOPIC = "log"
+LOG_TOPIC, COPIES_TOPIC = "log", "copies"
 
 
 class Waiters:
