--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -30,7 +30,7 @@
     )  # fmt: skip
     assert process.stderr is not None
     while json.loads(await process.stderr.readline())["event"] != "listening":
-        pass
+        pass  # a replica may follow before it listens
     return process
 
 
