Let a writer back from a crash never outdo the one given its place

Each start began a round of its own, so a writer that its supervisor started again, cut off from its peers, drew the same round as the replica promoted meanwhile, and by its salt could win: settled writes would have been thrown away. A term now has an era above the start: another process begins an era, the same one only a start. A process is known by the id in its folder, which the lead record names.

A watch's line is written once for all that hold the same list.

--- a/tests/test_matching.py
+++ b/tests/test_matching.py
@@ -17,6 +17,7 @@
 from woadyard.lists import ListBook
 from woadyard.net.held import TAKE, Held, Named, read_name
 from woadyard.registry.follow import Follower
+from woadyard.registry.host import next_term
 from woadyard.registry.log import Journal
 from woadyard.registry.service import DeposedError, Registry
 from woadyard.registry.tail import Tail
@@ -137,5 +138,14 @@
             assert self.served.setdefault(name, dict(book.entries)) == book.entries
 
 
+def test_a_writer_back_from_a_crash_never_outdoes_the_one_given_its_place() -> None:
+    mine = next_term(0, False)
+    promoted = next_term(mine, False)
+    for _ in range(100):
+        before, mine = mine, next_term(mine, True)
+        assert before < mine < promoted
+    assert next_term(mine, False) != next_term(mine, False), "two given it at once differ"
+
+
 TestParted = Parted.TestCase
 TestParted.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -162,3 +162,34 @@
         assert watcher.names == {"s-0", "s-1", "s-2"}
 
     run(main())
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"\x16\x03\x01\x00\r\n\r\n", 400),
+        (b"PUT /registry/instances/a?ttl_ms=5 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n[1", 400),
+        (b"PUT /registry/instances/a?ttl_ms=x HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}", 400),
+        (b"PUT /registry/instances/a?ttl_ms=5 HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab", 408),
+        (b"PUT /registry/instances/a HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n", 413),
+        (b"POST /registry/shares/n?ttl_ms=5 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}", 400),
+        (b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    ],
+)
+def test_a_bad_call_is_refused_with_a_remedy_and_no_traceback(
+    tmp_path: Path, sent: bytes, status: int
+) -> None:
+    async def main() -> None:
+        port = free_port()
+        process = await service(tmp_path, port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(sent + b"x" * (2_000_000 if status == 413 else 0))
+        back = await read_message(reader)
+        assert int(back.start.split()[1]) == status and json.loads(back.body)["remedy"]
+        assert (await register(port, "s-0"))[0] == 200, "and it serves on"
+        writer.close()
+        process.send_signal(signal.SIGTERM)
+        _, lines = await process.communicate()
+        assert b"Traceback" not in lines and lines.count(b"\n") <= 2, "one line for it, one at the end"
+
+    run(main())
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -12,11 +12,12 @@
 
 from tests.process import Process, free_port
 from tests.sockets import run
-from tests.test_registry import Watcher, ask, register, service
+from tests.test_registry import ENTRY, Watcher, ask, register, service
 from tests.test_replicas import caught_up, end, replica, until
 from woadyard.lists.service import PATH
 from woadyard.net.discovery import Discovery
 from woadyard.net.held import KEEP, OTHER_S, REFUSE, TAKE, Held, Named
+from woadyard.net.listwriter import ListWriter
 
 
 async def said(process: Process, event: str) -> dict[str, Any]:
@@ -81,8 +82,12 @@
         await said(first, "following")
         status, text = await register(ports[0], "x-2")
         assert status == 307 and json.loads(text)["writer"] == f"127.0.0.1:{ports[1]}"
-        assert (await register(ports[1], "y-2"))[0] == 200
+        caller, told = ListWriter(f"127.0.0.1:{ports[0]}", Random(1)), list[Any]()
+        assert await caller.write("PUT", f"{PATH}/y-2?ttl_ms=60000", ENTRY, told.append), "in one call"
+        assert caller.sent_on == ("127.0.0.1", ports[1]) and caller.term is not None
         assert names(await until(ports[0], caught_up(2))) == ["x-1", "y-2"]
+        older = {"lineage": caller.term[0], "term": caller.term[1] - 1}
+        assert not caller._take(json.dumps(older).encode(), told.append), "an answer of an older term"
         await end(second)  # its place is not taken back by a mere restart of the first
         await end(first)
         first = await service(tmp_path / "a", ports[0])
--- a/woadyard/lists/service.py
+++ b/woadyard/lists/service.py
@@ -57,6 +57,7 @@
 
     def __init__(self, registry: Registry) -> None:
         self.registry = registry
+        self.last: tuple[object, bytes] = None, b""  # what was told last, and to whom: most hold the same
         registry.counts.version.set_function(lambda: self.book.version)
 
     @property
@@ -95,12 +96,8 @@
         at = (asked.term, asked.since) if asked.lineage == self.registry.host.lineage else (-1, asked.since)
         while True:
             book, behind = self.book, self.registry.behind
-            told = book.changes_since(*at)
+            line = self._line(*at)
             at = book.term, book.version
-            if told["instances"] or told["reset"] or behind:
-                line = msgspec.json.encode(self._told(told)) + b"\n"
-            else:
-                line = b"\n"
             # Waits where the peer does not read: it is then told the sum of what changed,
             # and none of it is held for it.
             await response.write(line)
@@ -109,6 +106,17 @@
             if (self.book.term, self.book.version) == at and not self.registry.behind:
                 await self.registry.waiters.woken(ListBook.name, BEAT_S)
 
+    def _line(self, term: int, version: int) -> bytes:
+        """For a watch at (term, version): what changed since, or an empty line."""
+        book, behind = self.book, self.registry.behind
+        key = (term, version, book, book.term, book.version, behind)
+        if self.last[0] != key:
+            told, line = book.changes_since(term, version), b"\n"
+            if told["instances"] or told["reset"] or behind:
+                line = msgspec.json.encode(self._told(told)) + b"\n"
+            self.last = key, line
+        return self.last[1]
+
     async def put(self, request: web.Request) -> web.StreamResponse:
         ttl_ms = query(request, PutQuery).ttl_ms
         entry = await body(request, dict[str, Any])
--- a/woadyard/registry/follow.py
+++ b/woadyard/registry/follow.py
@@ -53,7 +53,6 @@
         self.named = registry.writer  # where a writer that it was sent on to fails, it begins anew
         self.backoff = Backoff(rng, RETRY_S, RETRY_MOST_S)
         self.heard = self.clock()
-        self.name = f"{rng.getrandbits(64):016x}"
 
     async def run(self) -> None:
         self.registry.set_stale(self.registry.writer is not None)  # until the writer's first word
@@ -75,7 +74,7 @@
         registry, host = self.registry, self.registry.host
         query = {
             "after": host.applied, "chain": host.chain, "lineage": host.lineage, "term": registry.seen,
-            "wait": POLL_S, "who": self.name,
+            "wait": POLL_S, "who": registry.name,
             # A writer from before the running hash waits by the list's version.
             "index": registry.book(ListBook).version,
         }  # fmt: skip
--- a/woadyard/registry/host.py
+++ b/woadyard/registry/host.py
@@ -3,9 +3,11 @@
 Pure. A term is one writer's reign: it begins with that writer's `lead` record, and
 every record carries it, so that nothing of a writer that was replaced is taken any
 more (the fencing token of Raft's terms; Ongaro and Ousterhout, 2014). Nobody elects
-writers here, so terms are made as the ballots of Paxos are: a round, one above the
-greatest ever seen, and a salt by chance, so that two processes that both began
-to write at the same round have no term in common.
+writers here, so terms are made as the ballots of Paxos are, of three parts: the era,
+one more where another process takes the writer's place; the start, one more where the
+same one starts anew, so that a writer back from a crash never outdoes the process that
+was given its place meanwhile; and a salt by chance, so that no two processes that both
+began to write have a term in common.
 
 The running hash `chain` covers every record from the first: two logs with one chain
 at one index hold the same records up to there.
@@ -24,14 +26,16 @@
 from woadyard.registry.book import Book, Led, Record
 
 LEAD = "lead"
-SALT_BITS = 24
+SALT_BITS, ERA_SHIFT = 24, 36
 TERM_MOST = 1 << 52  # JSON readers that know only doubles still tell terms apart
 NO_CHAIN = "0" * 32
 
 
-def next_term(seen: int) -> int:
-    """The term of a process that begins to write and has heard of no term above `seen`."""
-    return (seen >> SALT_BITS) + 1 << SALT_BITS | secrets.randbits(SALT_BITS)
+def next_term(seen: int, resumes: bool) -> int:
+    """The term of a process that begins to write and has heard of no term above `seen`;
+    `resumes` where that was its own."""
+    shift = SALT_BITS if resumes else ERA_SHIFT
+    return (seen >> shift) + 1 << shift | secrets.randbits(SALT_BITS)
 
 
 def link(chain: str, record: Record) -> str:
@@ -45,6 +49,7 @@
         self.applied = 0  # records, from the log's first: its index
         self.lineage = ""  # which log this is: a replica of another one is no replica
         self.term = 0  # 0: written before there were terms
+        self.leader = ""  # whose term it is
         self.chain = NO_CHAIN
 
     def check(self, record: Record) -> None:
@@ -80,6 +85,7 @@
         self.check(record)
         if record["op"] == LEAD:
             self.lineage, self.term = record["lineage"], record.get("term", 0)
+            self.leader = str(record.get("by", ""))
             for book in self.books.values():
                 if isinstance(book, Led):
                     book.lead(self.term, int(record["at"]))
@@ -93,7 +99,8 @@
     def dump(self) -> dict[str, Any]:
         """All of it, for a snapshot; `load` takes it back."""
         return {
-            "applied": self.applied, "lineage": self.lineage, "term": self.term, "chain": self.chain,
+            "applied": self.applied, "lineage": self.lineage, "term": self.term,
+            "leader": self.leader, "chain": self.chain,
             "books": {name: book.dump() for name, book in self.books.items()},
         }  # fmt: skip
 
@@ -105,6 +112,7 @@
         try:
             applied, term = int(raw["applied"]), int(raw["term"])
             lineage, chain, dumps = str(raw["lineage"]), str(raw["chain"]), dict(raw["books"])
+            leader = str(raw.get("leader", ""))
         except (KeyError, TypeError, ValueError) as error:
             raise RecordError(f"no snapshot: {error!r}") from None
         if strange := sorted(dumps.keys() - self.books.keys()):
@@ -115,6 +123,7 @@
         for name, dump in dumps.items():
             self.books[name].load(dump)
         self.applied, self.term, self.lineage, self.chain = applied, term, lineage, chain
+        self.leader = leader
 
 
 def _from_before_books(raw: dict[str, Any]) -> dict[str, Any]:
--- a/woadyard/registry/log.py
+++ b/woadyard/registry/log.py
@@ -7,7 +7,7 @@
 snapshot is read, then the records past its index. A frame that is cut short
 or whose checksum fails ends the log there: it is dropped, with a log line,
 and never read as data. `seen` holds the greatest term that this process was
-told of, also where no record of it came.
+told of, also where no record of it came; `id` names the process over restarts.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 import json
 import logging
 import os
+import secrets
 import struct
 import zlib
 from pathlib import Path
@@ -30,7 +31,7 @@
 
 
 class Journal:
-    """The files in `folder`: `log`, `snapshot.json` and `seen`. OSError where the
+    """The files in `folder`: `log`, `snapshot.json`, `seen` and `id`. OSError where the
     disk refuses a write; what was in memory then stays as it was on disk."""
 
     def __init__(self, folder: Path) -> None:
@@ -99,6 +100,13 @@
         """Keep the greatest term told of over a restart."""
         self._replace(self.seen_path, str(term).encode())
 
+    def identity(self) -> str:
+        """The name of the process with this folder."""
+        path = self.folder / "id"
+        if not path.exists():
+            self._replace(path, secrets.token_hex(8).encode())
+        return path.read_text()
+
     def seen(self) -> int:
         try:
             return int(self.seen_path.read_bytes()) if self.seen_path.exists() else 0
--- a/woadyard/registry/service.py
+++ b/woadyard/registry/service.py
@@ -22,14 +22,14 @@
 from woadyard.registry.books import books
 from woadyard.registry.copies import Copies
 from woadyard.registry.counts import Counts
-from woadyard.registry.host import LEAD, SALT_BITS, TERM_MOST, Host, next_term
+from woadyard.registry.host import ERA_SHIFT, LEAD, TERM_MOST, Host, next_term
 from woadyard.registry.log import Journal
 from woadyard.registry.waiters import COPIES_TOPIC, LOG_TOPIC, Waiters
 
 SNAPSHOT_EVERY = 1_000  # records between snapshots
 RECORDS_MOST = 500  # told to a replica at once
-# A term further on than any number of restarts explains is a lie, and deposes nobody.
-ROUNDS_MOST = 10_000
+# A term further on than any number of writers explains is a lie, and deposes nobody.
+ERAS_MOST = 1_000
 SETTLE_S = 2.0  # a write waits so long for its copies
 AGAIN_S = 1.0  # a record that was due and could not be written is tried again
 LOG = logging.getLogger(__name__)
@@ -72,6 +72,7 @@
         self.journal, self.clock, self.writer = journal, clock or steady(), writer
         self.host = Host(books())
         journal.recover(self.host)
+        self.name = journal.identity()
         self.seen = max(journal.seen(), self.host.term)  # the greatest term told of
         self.stale = False  # a replica that has not heard of its writer lately
         self.deposed = False
@@ -112,8 +113,9 @@
                 self._depose(self.seen, "what was heard before the start")
             return
         lineage = self.host.lineage or secrets.token_hex(8)
-        term = next_term(max(self.seen, self.host.term))
-        self.replay({"op": LEAD, "lineage": lineage, "term": term, "at": self.clock()})
+        resumes = self.host.leader == self.name and self.seen == self.host.term
+        term = next_term(self.seen, resumes)
+        self.replay({"op": LEAD, "lineage": lineage, "term": term, "by": self.name, "at": self.clock()})
         self.seen = term
         self.arm()
 
@@ -208,7 +210,7 @@
         that another process was given the writer's place: this one writes no more."""
         if lineage != self.host.lineage or term <= self.seen:
             return
-        if term >= TERM_MOST or (term >> SALT_BITS) - (self.seen >> SALT_BITS) > ROUNDS_MOST:
+        if term >= TERM_MOST or (term >> ERA_SHIFT) - (self.seen >> ERA_SHIFT) > ERAS_MOST:
             LOG.warning("a term that can't be", extra={"term": term, "by": by})
             return
         self.seen = term
