--- a/woadyard/registry/follow.py
+++ b/woadyard/registry/follow.py
@@ -74,7 +74,7 @@
         registry, host = self.registry, self.registry.host
         query = {
             "after": host.applied, "chain": host.chain, "lineage": host.lineage, "term": registry.seen,
-            "wait": POLL_S,
+            "wait": POLL_S, "who": registry.name,
             # A writer from before the running hash waits by the list's version.
             "index": registry.book(ListBook).version,
         }  # fmt: skip
