--- a/woadyard/experiment/conductor.py
+++ b/woadyard/experiment/conductor.py
@@ -108,10 +108,11 @@
             if trial is None or trial.state is State.APPLIED or not self.registry.leads:
                 self.look = None
             else:
-                self._step(trial)
+                self.step(trial)
             await asyncio.sleep(LOOK_S)
 
-    def _step(self, trial: Trial) -> None:
+    def step(self, trial: Trial) -> None:
+        """One look, or one look at who acts on the decision."""
         try:
             if trial.state is State.RUNNING:
                 self._look(trial)
