--- a/woadyard/limits/service.py
+++ b/woadyard/limits/service.py
@@ -40,8 +40,10 @@
         name, ttl_us = request.match_info["name"], query(request, HoldQuery).ttl_ms * 1000
         asked = await body(request, Hold)
         call = {"seq_of": asked.seq, "limit": asked.limit, "of": asked.of, "keeps": asked.keeps}
-        registry.commit({"op": HOLD, "id": name, "ttl_us": ttl_us, **call})
+        index = registry.commit({"op": HOLD, "id": name, "ttl_us": ttl_us, **call})
         grants = registry.book(LimitsBook).grants(name)
+        # With copies asked for, what is granted is known to whoever takes the writer's place.
+        await registry.settle(index)
         return answer(Granted(grants, registry.host.lineage, registry.host.term))
 
     registry.counts.holders.set_function(lambda: registry.book(LimitsBook).holders(registry.clock()))
--- a/woadyard/lists/service.py
+++ b/woadyard/lists/service.py
@@ -3,7 +3,8 @@
 - `GET /registry/instances`: the whole list, `{"generation", "reset", "instances"}`, with
   the `lineage` and `term` that the generation is of.
 - `GET /registry/instances?index=N&wait=S`: the same, once the version is past N
-  or S seconds (at most `WAIT_MOST_S`) have gone: a long poll.
+  or S seconds (at most `WAIT_MOST_S`) have gone: a long poll; at once where `term=T`
+  names another term.
 - `GET /registry/instances?watch=1&from=N&term=T&lineage=L`: the protocol's watch, a
   chunked answer with a line for each change (a whole list first where N of term T is no
   part of this list's history, or too old) and an empty line every `BEAT_S` while
@@ -78,14 +79,18 @@
         with counts.watches.track_inprogress():
             if kind == "watch":
                 return await self.watch(request, asked)
-            await self._changed_past(asked.index or 0, asked.wait)
+            await self._changed_past(asked.term, asked.index or 0, asked.wait)
         return answer(self._told(self.book.listing()))
 
-    async def _changed_past(self, version: int, wait_s: float) -> None:
+    async def _changed_past(self, term: int, version: int, wait_s: float) -> None:
         wait_s, behind = min(WAIT_MOST_S, max(0.0, wait_s)), self.registry.behind
         await self.registry.waiters.until(
             ListBook.name,
-            lambda: self.book.version > version or self.registry.behind != behind,
+            lambda: (
+                self.book.version > version
+                or self.registry.behind != behind
+                or term not in (0, self.book.term)
+            ),
             wait_s,
         )
 
--- a/woadyard/registry/log.py
+++ b/woadyard/registry/log.py
@@ -39,6 +39,7 @@
         self.log_path, self.snapshot_path = folder / "log", folder / "snapshot.json"
         self.seen_path = folder / "seen"
         self.size = 0  # bytes of the log that count; what a failed write left is past them
+        self.snapshot_size = 0  # bytes
         self.tail = Tail()
 
     def recover(self, host: Host) -> None:
@@ -47,6 +48,7 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         if self.snapshot_path.exists():
             host.load(_read_json(self.snapshot_path))
+            self.snapshot_size = self.snapshot_path.stat().st_size
         self.tail.begin(host.applied, host.chain)
         good = 0
         data = self.log_path.read_bytes() if self.log_path.exists() else b""
@@ -54,7 +56,7 @@
             # Behind a state taken whole, what the log still held of an older term counts no more.
             if int(record["seq"]) > host.applied and record.get("term", 0) >= host.term:
                 host.apply(record)
-                self.tail.add(record, host.chain)
+                self.tail.add(record, host.chain, end - good)
             good = end
         if good < len(data):
             LOG.warning("torn log record dropped", extra={"offset": good, "bytes": len(data) - good})
@@ -71,7 +73,7 @@
         payload = json.dumps(record, separators=(",", ":")).encode()
         self._write(FRAME.pack(len(payload), zlib.crc32(payload)) + payload)
         changed = host.apply(record)
-        self.tail.add(record, host.chain)
+        self.tail.add(record, host.chain, len(payload))
         return changed
 
     def _write(self, frame: bytes) -> None:
@@ -86,7 +88,9 @@
 
     def snapshot(self, host: Host) -> None:
         """The host whole beside the last snapshot, renamed over it, and the log emptied."""
-        self._replace(self.snapshot_path, json.dumps(host.dump()).encode())
+        content = json.dumps(host.dump()).encode()
+        self._replace(self.snapshot_path, content)
+        self.snapshot_size = len(content)
         with open(self.log_path, "wb") as file:  # its records are all in the snapshot
             os.fsync(file.fileno())
         self.size = 0
--- a/woadyard/registry/service.py
+++ b/woadyard/registry/service.py
@@ -26,7 +26,9 @@
 from woadyard.registry.log import Journal
 from woadyard.registry.waiters import COPIES_TOPIC, LOG_TOPIC, Waiters
 
-SNAPSHOT_EVERY = 1_000  # records between snapshots
+# A snapshot comes where the log is longer than the last one, and than this: so a book that
+# has grown is not written whole again and again, and a start reads no more than twice of it.
+LOG_BYTES = 256 * 1024
 RECORDS_MOST = 500  # told to a replica at once
 # A term further on than any number of writers explains is a lie, and deposes nobody.
 ERAS_MOST = 1_000
@@ -81,7 +83,6 @@
         self.counts = Counts()
         self._count()
         self.timer: asyncio.TimerHandle | None = None
-        self.since_snapshot = 0
 
     @property
     def books(self) -> dict[str, Book]:
@@ -177,11 +178,9 @@
         self._snapshot_now_and_then()
 
     def _snapshot_now_and_then(self) -> None:
-        self.since_snapshot += 1
-        if self.since_snapshot >= SNAPSHOT_EVERY:
+        if self.journal.size > max(LOG_BYTES, self.journal.snapshot_size):
             try:
                 self.journal.snapshot(self.host)
-                self.since_snapshot = 0
             except OSError as error:
                 LOG.error("snapshot failed", extra={"error": str(error)})
 
--- a/woadyard/registry/tail.py
+++ b/woadyard/registry/tail.py
@@ -7,27 +7,30 @@
 
 from woadyard.registry.host import NO_CHAIN
 
-KEPT = 4_096  # records, kept for replicas that follow
+KEPT, BYTES_KEPT = 4_096, 4 * 1024 * 1024  # records, and their JSON, for replicas that follow
 
 
 class Tail:
     """`start` is the index before the first record kept, `chain` the hash there."""
 
-    def __init__(self, most: int = KEPT) -> None:
-        self.most = most
-        self.records: deque[tuple[dict[str, Any], str]] = deque()
+    def __init__(self, most: int = KEPT, most_bytes: int = BYTES_KEPT) -> None:
+        self.most, self.most_bytes = most, most_bytes
+        self.records: deque[tuple[dict[str, Any], str, int]] = deque()
         self.begin(0, NO_CHAIN)
 
     def begin(self, index: int, chain: str) -> None:
         """Nothing is kept up to `index`."""
-        self.start, self.chain = index, chain
+        self.start, self.chain, self.size = index, chain, 0
         self.records.clear()
 
-    def add(self, record: dict[str, Any], chain: str) -> None:
-        self.records.append((record, chain))
-        if len(self.records) > self.most:
+    def add(self, record: dict[str, Any], chain: str, size: int) -> None:
+        """A record, the hash behind it and the bytes of its JSON."""
+        self.records.append((record, chain, size))
+        self.size += size
+        while len(self.records) > self.most or self.size > self.most_bytes:
+            _, self.chain, size = self.records.popleft()
             self.start += 1
-            self.chain = self.records.popleft()[1]
+            self.size -= size
 
     def chain_at(self, index: int) -> str | None:
         """The hash behind record `index`; None where that is not kept."""
@@ -43,5 +46,5 @@
 
     def marks(self) -> list[tuple[int, str]]:
         """Each index kept and its hash, from the last to the first."""
-        found = [(self.start + at + 1, chain) for at, (_, chain) in enumerate(self.records)]
+        found = [(self.start + at + 1, chain) for at, (_, chain, _) in enumerate(self.records)]
         return [*reversed(found), (self.start, self.chain)]
