Give one owner to a test's processes, proxies and folders, and faults to the stand-in network

Tests started processes by hand and ended them on their last line: one that failed midway left them running, and set-up was repeated in each.

The fixture lab (tests/lab.py) starts services, sidecars, proxies and endpoints and ends them however the test ends; logs go to files and are waited for by event. The fault proxy moves to woadyard/standins and learns delays, one-way loss, a rate and schedules drawn from a seed; after lost bytes a connection loses all that follows, as TCP shows no gap. test_zones, test_gossip and benchmarks/gossip.py use it. Its tests are coroutines on asyncio's loop: on uvloop's pytest's time limit did not break into a wait.

Seen: a sample that fails or hangs with three processes leaves none.

--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -17,24 +17,21 @@
 import logging
 import random
 import time
-from itertools import count
+from collections import Counter
+from contextlib import closing, suppress
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
 
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
-from tests.process import call, free_port
-from tests.sockets import Endpoint, read_message, request
-from tests.test_gossip import Sidecar, fails, sharing
-from tests.test_registry import service
-from tests.test_replicas import end
+from tests.lab import Lab, Program
+from tests.test_gossip import fails, sharing
 from woadyard.interface import EJECTED
 from woadyard.net.gossip import TELL_MOST
 from woadyard.shared.store import VERDICT, SharedStore
 
 INTERVAL_MS, TRIP_US, RUNS, BOUND_US = 500, 2_000, 20, 10_000_000
-IDS = count()
 
 
 def show(name: str, times: HdrHistogram) -> None:
@@ -99,69 +96,52 @@
     print(f"wire, {size} sidecars, {accusers} accusing: {fleet.bytes / 30 / size:.0f} bytes/s each")
 
 
-async def fleet(
-    folder: str, size: int, peers: int, entries: list[dict[str, Any]], **more: Any
-) -> list[Sidecar]:
-    """Sidecar processes, some at a time."""
-    found: list[Sidecar] = []
+async def fleet(lab: Lab, size: int, entries: list[dict[str, Any]], **more: Any) -> list[Program]:
+    """Sidecar processes that know of all others, started some at a time."""
+    peers, found = await lab.service(), list[Program]()
     for at in range(0, size, 10):
         some = range(at, min(size, at + 10))
-        made = (sharing(Path(folder) / f"{n}", f"n{n}", peers, *entries, **more) for n in some)
-        found += await asyncio.gather(*made)
+        made = await asyncio.gather(*(sharing(lab, f"n{n}", peers, entries, **more) for n in some))
+        found += [one for one, _, _ in made]
+    await asyncio.gather(*(one.shows(f"woadyard_peers {size - 1}.0") for one in found))
     return found
 
 
 async def processes(size: int) -> None:
-    endpoint, peers, times = Endpoint(), free_port(), HdrHistogram(1, 600_000_000, 3)
-    with TemporaryDirectory() as folder:
-        registry = await service(Path(folder) / "r", peers)
-        async with await endpoint.start():
-            entries = [endpoint.entry(f"s-{n}") for n in range(4)]
-            settings = {"interval-ms": INTERVAL_MS, "verdict-bound-ms": 10_000}
-            sidecars = await fleet(folder, size, peers, entries, **settings)
-            await asyncio.gather(*(one.shows(f"woadyard_peers {size - 1}.0") for one in sidecars))
-            for act in ("detach", "attach"):  # put back it is cold, which is told
-                await call(sidecars[0].door, "POST", f"/_endpoints/{act}", "s-1")
-            began = time.perf_counter()
-
-            async def hears(one: Sidecar) -> None:
-                text = ""
-                while "\nwoadyard_endpoints_lowered 1.0" not in text:
-                    await asyncio.sleep(0.25)
-                    text = (await call(one.door, "GET", "/_metrics")).body.decode()
-                times.record_value(int((time.perf_counter() - began) * 1e6))
-
-            await asyncio.gather(*(hears(one) for one in sidecars[1:]))
-            await end(registry, *(one.process for one in sidecars))
+    times = HdrHistogram(1, 600_000_000, 3)
+    with TemporaryDirectory() as folder, closing(Lab(Path(folder))) as lab:
+        endpoint = await lab.endpoint()
+        entries = [endpoint.entry(f"s-{n}") for n in range(4)]
+        settings = {"interval-ms": INTERVAL_MS, "verdict-bound-ms": 10_000}
+        sidecars = await fleet(lab, size, entries, **settings)
+        for act in ("detach", "attach"):  # put back it is cold, which is told
+            await lab.call(sidecars[0].door, "POST", f"/_endpoints/{act}", "s-1")
+        began = time.perf_counter()
+
+        async def hears(one: Program) -> None:
+            while "\nwoadyard_endpoints_lowered 1.0" not in await one.metrics():
+                await asyncio.sleep(0.25)
+            times.record_value(int((time.perf_counter() - began) * 1e6))
+
+        await asyncio.gather(*(hears(one) for one in sidecars[1:]))
     show(f"convergence, {size} processes", times)
 
 
 async def saving(size: int, seconds: float, share: float) -> None:
     """Attempts at a bad endpoint of 8; at a share of 0.01 no verdict lowers anything."""
-    bad, good, peers = Endpoint(fails), Endpoint(), free_port()
-    with TemporaryDirectory() as folder:
-        registry = await service(Path(folder) / "r", peers)
-        async with await bad.start(), await good.start():
-            entries = [bad.entry("s-0"), *(good.entry(f"s-{n}") for n in range(1, 8))]
-            settings = {"interval-ms": INTERVAL_MS, "verdict-bound-ms": 10_000, "eject-share": share}
-            sidecars = await fleet(folder, size, peers, entries, **settings)
-            await asyncio.gather(*(one.shows(f"woadyard_peers {size - 1}.0") for one in sidecars))
-            until, statuses = time.perf_counter() + seconds, list[str]()
-
-            async def caller(one: Sidecar) -> None:
-                reader, writer = await asyncio.open_connection("127.0.0.1", one.port)
-                while time.perf_counter() < until:
-                    writer.write(request(rid=f"b-{next(IDS)}"))
-                    statuses.append((await read_message(reader)).start.split()[1])
-                    await asyncio.sleep(0.1)
-                writer.close()
-
-            bad.got.clear()
-            await asyncio.gather(*(caller(one) for one in sidecars for _ in range(2)))
-            await end(registry, *(one.process for one in sidecars))
+    with TemporaryDirectory() as folder, closing(Lab(Path(folder))) as lab:
+        bad, good = await lab.endpoint(fails), await lab.endpoint()
+        entries = [bad.entry("s-0"), *(good.entry(f"s-{n}") for n in range(1, 8))]
+        settings = {"interval-ms": INTERVAL_MS, "verdict-bound-ms": 10_000, "eject-share": share}
+        sidecars = await fleet(lab, size, entries, **settings)
+        bad.got.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await asyncio.gather(*(one.load(2, 0.1) for one in sidecars))
+        statuses = sum((one.statuses for one in sidecars), Counter[int]())
     print(
         f"saving, {size} sidecars, {seconds:.0f} s, verdicts {'heeded' if share > 0.1 else 'not heeded'}: "
-        f"{len(bad.got)} attempts failed of {len(statuses)} requests, {statuses.count('200')} answered 200"
+        f"{len(bad.got)} attempts failed of {statuses.total()} requests, {statuses[200]} answered 200"
     )
 
 
--- a/tests/process.py
+++ b/tests/process.py
@@ -9,12 +9,17 @@
 import socket
 import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
-from tests.sockets import SETTINGS, Endpoint, Listener, Message, Reader, Registry, Writer, read_message
+from tests.sockets import SETTINGS, Endpoint, Message, Reader, Registry, Writer, read_message
 
 
-def config(tmp_path: Path, registry: Listener, *endpoints: Endpoint, **changes: Any) -> dict[str, str]:
+class HasPort(Protocol):
+    @property
+    def port(self) -> int: ...
+
+
+def config(tmp_path: Path, registry: HasPort, *endpoints: Endpoint, **changes: Any) -> dict[str, str]:
     raw = {
         "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{registry.port}", "seed": "8c1f",
         "limits": {"sockets": 1024}, "settings": SETTINGS,
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -118,7 +118,8 @@
 
     async def _serve(self, reader: Reader, writer: Writer) -> None:
         self.opened += 1
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        # Cancelled only where the loop ends.
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             while True:
                 message = await read_message(reader)
                 self.got.append(message)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -85,7 +85,8 @@
             old, new = Endpoint(), Endpoint()
             ports = [free_port() for _ in range(3)]
             to_writer, *to_replicas = proxies = [FaultProxy(target=port) for port in ports]
-            for one in (old, new, *proxies):
+            listeners: tuple[Any, ...] = (old, new, *proxies)
+            for one in listeners:
                 await stack.enter_async_context(await one.start())
             services = [await service(tmp_path / "w", ports[0])]
             services.append(await replica(tmp_path / "1", ports[1], to_writer.port))
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -5,21 +5,18 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from contextlib import AsyncExitStack
 from dataclasses import replace
-from itertools import count, pairwise
-from pathlib import Path
+from itertools import pairwise
 from typing import Any
 
 import pytest
 
-from tests.faults import CUT, DROP, PASS, FaultProxy
 from tests.helpers import MS, SECOND, Driver, fleet, sends, started
-from tests.process import call, config, free_port, ready, start
-from tests.sockets import SETTINGS, Endpoint, read_message, request, run
-from tests.test_replicas import end
+from tests.lab import Lab
+from tests.sockets import SETTINGS, Endpoint
 from woadyard.interface import ERROR, LIST_FULL, NO_CONNECT, OK, Locality, Outcome
 from woadyard.policy.zones import Zones
+from woadyard.standins import CUT, DROP, PASS
 
 # Zones 0 and 1 are of one region, 2 of another.
 LOCAL = Locality(regions=(0, 0, 1), window_us=SECOND, away_us=5 * SECOND, ramp_us=10 * SECOND, panic=0.5)
@@ -129,84 +126,47 @@
     assert {one.zone for one in FLEET if one.endpoint in drawn(locality=LOCAL)} == {0}
 
 
-IDS = count()
-
-
 @pytest.mark.parametrize("fault", [CUT, DROP])
-def test_a_sidecar_leaves_a_zone_that_dies_or_is_cut_off_and_comes_back(tmp_path: Path, fault: str) -> None:
+async def test_a_sidecar_leaves_a_zone_that_dies_or_is_cut_off_and_comes_back(lab: Lab, fault: str) -> None:
     """Zones on loopback addresses of their own, the sidecar's behind fault proxies."""
-
-    async def main() -> None:
-        async with AsyncExitStack() as stack:
-            near, far = [Endpoint() for _ in range(2)], [Endpoint() for _ in range(2)]
-            for one, host in ((near[0], 2), (near[1], 2), (far[0], 3), (far[1], 3)):
-                one.host = f"127.0.0.{host}"
-                await stack.enter_async_context(await one.start())
-            listeners: list[asyncio.Server] = []
-            proxies = [FaultProxy(target=one.port) for one in near]
-            for proxy in proxies:
-                proxy.host = proxy.towards = "127.0.0.2"
-                listeners.append(await proxy.start())
-            entries = [
-                {**one.entry(f"a-{n}"), "hostPort": f"127.0.0.2:{proxy.port}", "zone": "a"}
-                for n, (one, proxy) in enumerate(zip(near, proxies, strict=True))
-            ]
-            entries += [
-                {**one.entry(f"b-{n}"), "hostPort": f"127.0.0.3:{one.port}", "zone": "b"}
-                for n, one in enumerate(far)
-            ]
-            settings = {**SETTINGS, "zones": ["a", "b"], "locality": 0}
-            chosen = {"window-ms": 500, "away-ms": 100, "ramp-ms": 300}
-            known = {"generation": 1, "reset": True, "instances": entries}
-            environ = config(tmp_path, FaultProxy(), settings=settings, locality=chosen, known=known)
-            port, door = free_port(), free_port()
-            process = await start(
-                {**environ, "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONSOLE": f"127.0.0.1:{door}"}
-            )
-            await ready(door)
-            # Into a zone that swallows, the first requests wait for as long as their callers do.
-            patience_ms, statuses = 500 if fault == DROP else 4_000, list[str]()
-
-            async def caller() -> None:
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                while True:
-                    writer.write(request(rid=f"z{next(IDS)}", deadline_ms=patience_ms))
-                    statuses.append((await read_message(reader)).start.split()[1])
-                    await asyncio.sleep(0.005)
-
-            def got(zone: list[Endpoint]) -> int:
-                return sum(len(one.got) for one in zone)
-
-            async def only(zone: list[Endpoint], other: list[Endpoint]) -> None:
-                """Until 50 requests in a row went there."""
-                while True:
-                    here, there = got(zone), got(other)
-                    while got(zone) < here + 50 and got(other) == there:
-                        await asyncio.sleep(0.005)
-                    if got(other) == there:
-                        return
-
-            callers = [asyncio.ensure_future(caller()) for _ in range(4)]
-            await only(near, far)
-            for proxy in proxies:
-                proxy.fault(fault)
-            if fault == CUT:  # dead, and nothing listens
-                for listener in listeners:
-                    listener.close()
-            await only(far, near)
-            if fault == CUT:  # what is swallowed may end late, what is refused may not
-                assert set(statuses) == {"200"}, "the other zone could take it"
-            for proxy in proxies:
-                proxy.fault(PASS)
-                if fault == CUT:
-                    listeners.append(await proxy.start(proxy.port))
-            await only(near, far)
-            text = (await call(door, "GET", "/_metrics")).body.decode()
-            assert 'woadyard_zone_attempts_total{zone="b"}' in text
-            for running in callers:
-                running.cancel()
-            for listener in listeners:
-                listener.close()
-            await end(process)
-
-    run(main())
+    near = [await lab.endpoint(host="127.0.0.2") for _ in range(2)]
+    far = [await lab.endpoint(host="127.0.0.3") for _ in range(2)]
+    proxies = [await lab.proxy(one, host="127.0.0.2", towards="127.0.0.2") for one in near]
+    where = [("a", 2, proxy.port) for proxy in proxies] + [("b", 3, one.port) for one in far]
+    entries = [
+        {**near[0].entry(f"{zone}-{port}"), "hostPort": f"127.0.0.{host}:{port}", "zone": zone}
+        for zone, host, port in where
+    ]
+    chosen = {"window-ms": 500, "away-ms": 100, "ramp-ms": 300}
+    settings = {**SETTINGS, "zones": ["a", "b"], "locality": 0}
+    sidecar = await lab.sidecar("n1", entries, settings=settings, locality=chosen)
+    # Into a zone that swallows, the first requests wait for as long as their callers do.
+    load = asyncio.ensure_future(sidecar.load(deadline_ms=500 if fault == DROP else 4_000))
+
+    def got(zone: list[Endpoint]) -> int:
+        return sum(len(one.got) for one in zone)
+
+    async def only(zone: list[Endpoint], other: list[Endpoint]) -> None:
+        """Until 50 requests in a row went there."""
+        while True:
+            here, there = got(zone), got(other)
+            while got(zone) < here + 50 and got(other) == there:
+                await asyncio.sleep(0.005)
+            if got(other) == there:
+                return
+
+    await only(near, far)
+    for proxy in proxies:
+        proxy.fault(fault)
+        if fault == CUT:  # dead, and nothing listens
+            proxy.close()
+    await only(far, near)
+    if fault == CUT:  # what is swallowed may end late, what is refused may not
+        assert set(sidecar.statuses) == {200}, "the other zone could take it"
+    for proxy in proxies:
+        proxy.fault(PASS)
+        if fault == CUT:
+            await proxy.start(proxy.port)
+    await only(near, far)
+    assert 'woadyard_zone_attempts_total{zone="b"}' in await sidecar.metrics()
+    load.cancel()
