--- a/woadyard/net/weights.py
+++ b/woadyard/net/weights.py
@@ -4,9 +4,11 @@
 
 import logging
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Annotated, Any
 
-from woadyard.errors import PlanError
+import msgspec
+
+from woadyard.errors import PeerError, PlanError
 from woadyard.interface import LIST_DELTA, LIST_FAILED
 from woadyard.whatif.weights import check_weights, resolve
 
@@ -14,6 +16,13 @@
 Told = Callable[[int, dict[str, float]], None]
 
 
+class Directive(msgspec.Struct):
+    """What is to be acted on; no weights: all endpoints alike."""
+
+    revision: Annotated[int, msgspec.Meta(ge=0, lt=1 << 53)]
+    weights: dict[str, float] = {}
+
+
 class Weights:
     """Hears of lists and directives. `weigh` takes factors by instance id; `told` hears which
     revision is in use with which weights."""
@@ -24,21 +33,20 @@
         self.weights: dict[str, float] = {}
         self.entries: dict[str, tuple[str, str, str]] = {}
 
-    def direct(self, directive: Mapping[str, Any]) -> bool:
-        """A directive of the list service; what is none, or no news, changes nothing."""
-        revision, weights = directive.get("revision"), directive.get("weights")
-        if type(revision) is not int or revision < 0 or revision == self.revision:
-            return False
+    def direct(self, directive: Any) -> int:
+        """A directive of the list service; the revision acted on from now on. PeerError where it is
+        none, and nothing of it is used."""
         try:
-            self.weights = check_weights(weights) if weights else {}
-        except PlanError as error:
-            LOG.warning("plan not taken", extra={**error.fields(), "revision": revision})
-            return False
-        self.revision = revision
-        self._apply()
-        LOG.info("plan in use", extra={"revision": revision, "weights": len(self.weights)})
-        self.told(revision, self.weights)
-        return True
+            told = msgspec.convert(directive, Directive)
+            weights = check_weights(told.weights) if told.weights else {}
+        except (msgspec.ValidationError, PlanError) as error:
+            raise PeerError(f"no plan: {error}") from None
+        if told.revision != self.revision:
+            self.revision, self.weights = told.revision, weights
+            self._apply()
+            LOG.info("plan in use", extra={"revision": told.revision, "weights": len(weights)})
+            self.told(told.revision, weights)
+        return self.revision
 
     def listed(self, mode: int, raw: list[dict[str, Any]]) -> None:
         """A list was put to use."""
