--- a/woadyard/net/config.py
+++ b/woadyard/net/config.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
+from woadyard.errors import WoadyardError
 from woadyard.interface import Locality, Settings
 from woadyard.shared.settings import SharedSettings, read_shared
 from woadyard.wire import WireError, read_settings
@@ -174,7 +175,10 @@
         raise ConfigError("record needs a console: recordings are fetched at the door")
     from woadyard.net.recorder import read_record  # a sidecar that records nothing loads nothing of it
 
-    return read_record(raw["record"])
+    try:
+        return read_record(raw["record"])
+    except WoadyardError as error:
+        raise ConfigError(str(error)) from None
 
 
 def shrink_most(raw: dict[str, Any]) -> float:
--- a/woadyard/registry/__init__.py
+++ b/woadyard/registry/__init__.py
@@ -29,3 +29,7 @@
         "--stale-after", metavar="SECONDS", type=float, default=5.0,
         help="a replica that heard nothing of the writer for so long says so to its clients",
     )  # fmt: skip
+    parser.add_argument(
+        "--plans", metavar="FILE", type=Path,
+        help="judge plans of weights and let them out, by the doors and rules of this file",
+    )  # fmt: skip
--- a/woadyard/registry/books.py
+++ b/woadyard/registry/books.py
@@ -5,8 +5,9 @@
 from woadyard.limits import LimitsBook
 from woadyard.lists import ListBook
 from woadyard.registry.book import Book
+from woadyard.whatif.plans import Plans
 
 
 def books() -> list[Book]:
     """Each empty; what the files hold is loaded into them."""
-    return [ListBook(), LimitsBook()]
+    return [ListBook(), LimitsBook(), Plans()]
--- a/woadyard/registry/command.py
+++ b/woadyard/registry/command.py
@@ -10,7 +10,7 @@
 
 import uvloop
 
-from woadyard.errors import RecordError, StateError
+from woadyard.errors import WoadyardError
 from woadyard.net.config import ConfigError, address, addresses
 from woadyard.ops import logs
 from woadyard.registry import add_arguments
@@ -19,6 +19,8 @@
 from woadyard.registry.log import Journal
 from woadyard.registry.peers import Peers
 from woadyard.registry.service import Registry
+from woadyard.whatif.planner import Planner
+from woadyard.whatif.settings import PlansSettings, read_plans
 
 LOG = logging.getLogger("woadyard")
 
@@ -29,7 +31,7 @@
     return made
 
 
-async def run(registry: Registry, arguments: argparse.Namespace) -> None:
+async def run(registry: Registry, arguments: argparse.Namespace, plans: PlansSettings | None) -> None:
     loop = asyncio.get_running_loop()
     task = asyncio.current_task()
     assert task is not None
@@ -43,6 +45,8 @@
         LOG.info("listening", extra={"port": bound, **fields, "writer": registry.writer or "this"})
         follower = Follower(registry, random.Random(), arguments.stale_after)
         tasks.append(loop.create_task(follower.run()))
+        if plans is not None:
+            tasks.append(loop.create_task(Planner(registry, plans).run()))
         if peers.addresses:
             tasks.append(loop.create_task(peers.run()))
 
@@ -67,9 +71,10 @@
             address(arguments.follow)
         if arguments.peers:
             addresses(arguments.peers)
+        plans = read_plans(arguments.plans) if arguments.plans is not None else None
         registry = Registry(Journal(arguments.data), writer=arguments.follow)
-        uvloop.run(run(registry, arguments))
-    except (RecordError, StateError) as error:
+        uvloop.run(run(registry, arguments, plans))
+    except WoadyardError as error:
         LOG.error("can't start", extra=error.fields())
         return 2
     except (ConfigError, OSError) as error:
--- a/woadyard/registry/routes.py
+++ b/woadyard/registry/routes.py
@@ -12,8 +12,9 @@
 from woadyard.lists import service as lists
 from woadyard.registry import replication
 from woadyard.registry.service import Registry
+from woadyard.whatif import service as plans
 
-PARTS = (lists.routes, limits.routes, replication.routes)
+PARTS = (lists.routes, limits.routes, plans.routes, replication.routes)
 
 
 def routes(registry: Registry) -> list[web.RouteDef]:
--- a/woadyard/whatif/service.py
+++ b/woadyard/whatif/service.py
@@ -28,7 +28,7 @@
 
 class Proposal(msgspec.Struct, forbid_unknown_fields=True):
     weights: dict[str, float]
-    stages: list[float] = list(Rules().stages)
+    stages: list[float] = msgspec.field(default_factory=lambda: list(Rules().stages))
     by: str = ""
 
 
