--- a/woadyard/whatif/doors.py
+++ b/woadyard/whatif/doors.py
@@ -9,7 +9,7 @@
 import aiohttp
 import msgspec
 
-from woadyard.errors import PeerError
+from woadyard.errors import PeerError, TraceError
 from woadyard.net.backoff import Backoff
 from woadyard.whatif.ring import Piece
 from woadyard.whatif.trace import Trace, read
@@ -83,10 +83,10 @@
             *(doors[name].pull(session, rng) for name in names), return_exceptions=True
         )
     for name, data in zip(names, results, strict=True):
-        if isinstance(data, bytes):
-            found[name] = read(data)
-        elif isinstance(data, PeerError):
-            LOG.warning("no trace", extra={"sidecar": name, **data.fields()})
-        else:
-            raise data
+        try:
+            if isinstance(data, BaseException):
+                raise data
+            found[name] = await asyncio.to_thread(read, data)
+        except (PeerError, TraceError) as error:
+            LOG.warning("no trace", extra={"sidecar": name, **error.fields()})
     return found
--- a/woadyard/whatif/planner.py
+++ b/woadyard/whatif/planner.py
@@ -30,6 +30,7 @@
 from woadyard.whatif.settings import PlansSettings, Rules
 
 LOG = logging.getLogger(__name__)
+MEASURED_MOST = 20  # sidecars of a stage whose recordings are looked at
 SHOWN = ("aim", "p50", "p99", "refused", "failed")
 
 
@@ -140,17 +141,19 @@
     # --- Rolling out ------------------------------------------------------------------
 
     async def _roll(self, plan: Plan) -> None:
-        told = acting(self.registry)
-        here = members(plan, told)
-        measured = Measured()
-        if here:
-            doors = {name: self.doors[name] for name in here if name in self.doors}
+        told, rules, measured = acting(self.registry), self.settings.rules, Measured()
+        if self.registry.clock() - plan.since >= rules.window_s * 1e6:  # before that there is too little
+            known = [name for name in members(plan, told) if name in self.doors]
+            doors = {name: self.doors[name] for name in known[:MEASURED_MOST]}
             traces = await pull_all(doors, self.rng)
             if len(traces) == len(doors):
-                measured = measure(traces.values(), plan.revision, self.settings.rules.confidence)
+                # Off the loop: a recording has some ten thousand requests.
+                measured = await asyncio.to_thread(
+                    measure, list(traces.values()), plan.revision, rules.confidence
+                )
         if self.book.active is not plan or plan.state != ROLLING:
             return  # an operator was quicker
-        self._take(plan, step(self.registry.clock(), plan, told, measured, self.settings.rules))
+        self._take(plan, step(self.registry.clock(), plan, told, measured, rules))
 
     def _take(self, plan: Plan, made: Step) -> None:
         if made.why != self.why:
