--- a/benchmarks/whatif_fidelity.py
+++ b/benchmarks/whatif_fidelity.py
@@ -96,7 +96,7 @@
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             rid = rng.getrandbits(64)
-            head = f"GET /x HTTP/1.1\r\nHost: b\r\nX-Request-Id: {rid:x}\r\nX-Class: {cls}\r\n"
+            head = f"GET /{cls} HTTP/1.1\r\nHost: b\r\nX-Request-Id: {rid:x}\r\nX-Class: {cls}\r\n"
             writer.write(f"{head}X-Deadline-Ms: 2000\r\n\r\n".encode())
             await read_message(reader)
             writer.close()
@@ -193,6 +193,11 @@
         for at, kind in enumerate(KINDS)
     ]  # fmt: skip
     sidecars = [Sidecar(number, entries, seed) for number in range(SIDECARS)]
+    for one in listening:  # they are up once they answer
+        reader, writer = await asyncio.open_connection(*one.getsockname())
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        await read_message(reader)
+        writer.close()
     try:
         yield sidecars, [await one.open() for one in sidecars]
     finally:
