--- a/benchmarks/whatif_fidelity.py
+++ b/benchmarks/whatif_fidelity.py
@@ -193,8 +193,8 @@
         for at, kind in enumerate(KINDS)
     ]  # fmt: skip
     sidecars = [Sidecar(number, entries, seed) for number in range(SIDECARS)]
-    for one in listening:  # they are up once they answer
-        reader, writer = await asyncio.open_connection(*one.getsockname())
+    for socket_ in listening:  # they are up once they answer
+        reader, writer = await asyncio.open_connection(*socket_.getsockname())
         writer.write(b"GET / HTTP/1.1\r\n\r\n")
         await read_message(reader)
         writer.close()
--- a/tests/test_whatif_plans.py
+++ b/tests/test_whatif_plans.py
@@ -9,10 +9,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from woadyard.errors import RecordError
+from benchmarks import whatif_world
+from woadyard.errors import PeerError, RecordError
+from woadyard.interface import LIST_DELTA, LIST_FULL
+from woadyard.net.weights import Weights
+from woadyard.whatif.measure import measure
 from woadyard.whatif.plans import Plans, plan_digest
 from woadyard.whatif.rollout import Measured, members, step
 from woadyard.whatif.settings import Rules
+from woadyard.whatif.trace import Weighed, read
 
 SECOND = 1_000_000
 WEIGHTS = {"machineType=old": 0.2, "e1": 2.0}
@@ -150,3 +155,32 @@
     assert record is not None and record["op"] == "halt" and "p99" in record["reason"]
     write(book, record)
     assert book.history[-1].errors["p99"] == pytest.approx(2.1e5)
+
+
+def test_a_sidecar_resolves_a_plan_for_each_list_and_takes_it_whole_or_not_at_all() -> None:
+    weighed: list[Any] = []
+    used: list[int] = []
+    weights = Weights(weighed.append, lambda revision, told: used.append(revision))
+    entries = [{"instanceId": f"e{n}", "machineType": kind} for n, kind in enumerate(["old", "new", "new"])]
+    weights.listed(LIST_FULL, entries[:2])
+    told = {"revision": 3, "weights": {"machineType=old": 1.0, "e1": 4.0, "machineType=new": 2.0}}
+    assert weights.direct(told) == 3 and weighed == [{"e0": 0.25, "e1": 1.0}]
+    weights.listed(LIST_DELTA, entries[2:])
+    assert weighed[-1] == {"e0": 0.25, "e1": 1.0, "e2": 0.5}
+    for bad in ({"revision": 4, "weights": {"e1": 0}}, {"revision": -1}, {"weights": {}}, [], None):
+        with pytest.raises(PeerError):
+            weights.direct(bad)
+    assert weights.direct(told) == 3 and used == [3]
+    assert weights.direct({"revision": 5, "weights": {}}) == 5 and weighed[-1] == {}
+
+
+def test_a_stage_is_measured_from_where_each_sidecar_took_the_plan() -> None:
+    trace = read(whatif_world.record(["small", "old"], sidecars=1, seconds=10)[0][0])
+    began = trace.requests[len(trace.requests) // 2].at
+    assert measure([trace], 7, 0.9).requests == 0
+    trace.changes.append(Weighed(began, 7, {}))
+    found = measure([trace], 7, 0.9)
+    later = [one for one in trace.requests if one.at >= began]
+    assert found.requests == len(later) and found.span_us == later[-1].at - began
+    share, low, high = found.figures["aim"]
+    assert low < share < high and found.figures["p50"][0] < found.figures["p99"][0]
