--- a/tests/test_whatif_plans.py
+++ b/tests/test_whatif_plans.py
@@ -167,7 +167,8 @@
     assert weights.direct(told) == 3 and weighed == [{"e0": 0.25, "e1": 1.0}]
     weights.listed(LIST_DELTA, entries[2:])
     assert weighed[-1] == {"e0": 0.25, "e1": 1.0, "e2": 0.5}
-    for bad in ({"revision": 4, "weights": {"e1": 0}}, {"revision": -1}, {"weights": {}}, [], None):
+    none: list[Any] = [{"revision": 4, "weights": {"e1": 0}}, {"revision": -1}, {"weights": {}}, [], None]
+    for bad in none:
         with pytest.raises(PeerError):
             weights.direct(bad)
     assert weights.direct(told) == 3 and used == [3]
