--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -8,13 +8,13 @@
 from pathlib import Path
 from typing import Any
 
-from tests.faults import CUT, DROP, PASS, FaultProxy
 from tests.process import Process, free_port
 from tests.sockets import run
 from tests.test_registry import Watcher, ask, register, service
 from tests.test_replicas import end
 from tests.test_terms import names, said
 from woadyard.lists.service import PATH
+from woadyard.standins import CUT, DELAY, DROP, PASS, Fault, FaultProxy
 
 TERM_PATH = "/registry/term"
 
@@ -52,8 +52,8 @@
         for n in range(count):
             if n % 4 == 0:
                 proxy = self.rng.choice(self.proxies)
-                proxy.delay_s = self.rng.choice([0.0, 0.1])
-                proxy.fault(self.rng.choice([PASS, PASS, DROP, CUT]))
+                late = Fault(DELAY, (0.0, 0.1))
+                proxy.fault(self.rng.choice([Fault(), late, Fault(DROP), Fault(CUT)]))
             name = f"{tag}-{n}"
             if (await register(self.ports[who], name))[0] == 200:
                 self.answered.add(name)
@@ -63,7 +63,6 @@
 
     def heal(self) -> None:
         for proxy in self.proxies:
-            proxy.delay_s = 0.0
             proxy.fault(CUT)  # what hangs in it is given up
             proxy.fault(PASS)
 
--- a/woadyard/registry/books.py
+++ b/woadyard/registry/books.py
@@ -6,8 +6,9 @@
 from woadyard.limits import LimitsBook
 from woadyard.lists import ListBook
 from woadyard.registry.book import Book
+from woadyard.whatif.plans import Plans
 
 
 def books() -> list[Book]:
     """Each empty; what the files hold is loaded into them."""
-    return [ListBook(), LimitsBook(), ExperimentsBook()]
+    return [ListBook(), LimitsBook(), Plans(), ExperimentsBook()]
