--- a/tests/lab.py
+++ b/tests/lab.py
@@ -24,7 +24,7 @@
 import aiohttp
 
 from tests.sockets import SETTINGS, Endpoint, Handler, Message, read_message, request, serve_ok
-from woadyard.standins import FaultProxy
+from woadyard.standins import FaultProxy, StandIn, manner
 
 LOOK_S = 0.02
 
@@ -76,6 +76,7 @@
     port: int = 0
     door: int = 0
     inherited: tuple[int, ...] = ()
+    cwd: Path | None = None
     lines: list[dict[str, Any]] = field(default_factory=list)
     heard: set[int] = field(default_factory=set)
     statuses: Counter[int] = field(default_factory=Counter)  # that the load got
@@ -86,7 +87,7 @@
         with self.log.open("ab") as errors:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", *self.words], env=self.environ, stdin=subprocess.DEVNULL,
-                stdout=subprocess.DEVNULL, stderr=errors, pass_fds=self.inherited,
+                stdout=errors, stderr=errors, cwd=self.cwd, pass_fds=self.inherited,
                 preexec_fn=_end_with_parent,
             )  # fmt: skip
 
@@ -183,7 +184,7 @@
         self.free_port = free_port
         self.call = call
 
-    def _run(self, program: Program) -> Program:
+    def run(self, program: Program) -> Program:
         self.programs.append(program)
         program.start()
         return program
@@ -194,7 +195,7 @@
         words = ["woadyard.registry", "--data", str(folder / "data"), "--listen", f"127.0.0.1:{port}", *more]
         if follow is not None:
             words += ["--follow", address(follow)]
-        program = self._run(Program(name, folder, words, dict(os.environ), port))
+        program = self.run(Program(name, folder, words, dict(os.environ), port))
         await program.said("listening")
         return program
 
@@ -221,7 +222,7 @@
         path.write_text(json.dumps(raw))
         told = {"LB_CONFIG": str(path), "LB_NAME": name, "TMPDIR": str(folder), **(environ or {})}
         made = Program(name, folder, ["woadyard"], {**os.environ, **told}, port, door)
-        program = self._run(made)
+        program = self.run(made)
         if wait:
             await program.ready()
         return program
@@ -239,6 +240,14 @@
         self.servers.append(await endpoint.start())
         return endpoint
 
+    async def stand_in(
+        self, name: str = "s-0", kind: str = "small", seed: int = 0, **changes: Any
+    ) -> StandIn:
+        """An endpoint to the protocol inside the test, with drawn times; it counts what it is sent."""
+        one = StandIn(name, manner(kind, **changes), seed)
+        await one.start()
+        return one
+
     async def listen(self, listener: Any) -> Any:
         """Starts a listener of the test's own kind."""
         self.servers.append(await listener.start())
