Kill the replay's worker at a known moment: once the first result is there

The test killed a worker one second after the pool's start: on a machine that was faster or slower than that no worker died, and the test failed (seen twice).

--- a/tests/test_whatif_replay.py
+++ b/tests/test_whatif_replay.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-import os
-import signal
-import threading
-from concurrent.futures import ProcessPoolExecutor
 from functools import cache
 from multiprocessing import active_children
 
@@ -34,17 +30,11 @@
     return Work(record(KINDS, seconds=20, rate=80)[0], RULES)
 
 
-def kill_one(pool: ProcessPoolExecutor) -> None:
-    """`kill -9` for one worker of the first pool, once it may be half way."""
-
-    def strike() -> None:
-        for child in active_children()[:1]:
-            if child.pid is not None:
-                os.kill(child.pid, signal.SIGKILL)
-
+def kill_one() -> None:
+    """`kill -9` for one worker, once; the first result is there and others are under way."""
     if not killed:
         killed.append(True)
-        threading.Timer(1.0, strike).start()
+        active_children()[0].kill()
 
 
 killed: list[bool] = []
--- a/woadyard/whatif/pool.py
+++ b/woadyard/whatif/pool.py
@@ -58,7 +58,7 @@
     frame: Frame,
     jobs: Sequence[Job],
     workers: int,
-    started: Callable[[ProcessPoolExecutor], None] = lambda pool: None,
+    halfway: Callable[[], None] = lambda: None,
 ) -> list[Tally]:
     """Each job's tally, in their order. `TraceError` where workers keep dying."""
     if workers < 2:
@@ -73,10 +73,10 @@
         context = get_context("spawn")
         with ProcessPoolExecutor(min(workers, len(left)), context, _lay, (data, packed, frame)) as pool:
             futures: dict[Future[Tally], int] = {pool.submit(_play, jobs[at]): at for at in left}
-            started(pool)
             try:
                 for one in as_completed(futures):
                     done[futures[one]] = one.result()
+                    halfway()
             except BrokenProcessPool:
                 LOG.warning("a worker died", extra={"done": len(done), "of": len(jobs)})
     if len(done) < len(jobs):
