--- a/woadyard/policy/health.py
+++ b/woadyard/policy/health.py
@@ -8,8 +8,6 @@
 from woadyard.policy.request import Request
 from woadyard.policy.ring import Ring
 
-# Memory of an endpoint's service as a multiple of the longest aim: one seldom drawn is judged afresh.
-LEARN_MEMORY, LEARN_GAIN_MAX = 2.0, 0.5
 # What one failure leaves of an endpoint's health, by how surely it tells of a broken endpoint; fullness tells
 # of load more than of a fault.
 BLAME = {ERROR: 0.4, FULL: 0.7, TIMEOUT: 0.2, NO_CONNECT: 0.5, RESET: 0.2}
@@ -115,17 +113,14 @@
         usual = self.ctx.latencies[request.kind]
         usual.add(delay_us)
         self.ctx.latency.add(delay_us)
-        self._learn(now, endpoint, min(delay_us / max(1.0, usual.mean), 8.0))
+        self._learn(endpoint, min(delay_us / max(1.0, usual.mean), 8.0))
         if endpoint.slowness >= TOLD_SLOWNESS and endpoint.samples >= LEARN_SAMPLES:
             self.ctx.accuse(endpoint, DEGRADED)
         elif endpoint.accused and not self.slow.is_cold(now, endpoint) and min(endpoint.health)[0] == 1.0:
             self.ctx.accuse(endpoint, None)
 
-    def _learn(self, now: int, endpoint: Endpoint, ratio: float) -> None:
+    def _learn(self, endpoint: Endpoint, ratio: float) -> None:
         """How slow it is against its peers."""
-        age = (now - endpoint.slowness_at) / (LEARN_MEMORY * self.ctx.longest_aim)
         endpoint.samples += 1
-        gain = max(1.0 / LEARN_SAMPLES, 1.0 / (endpoint.samples + 3), min(age, LEARN_GAIN_MAX))
-        gain = 0.25 if endpoint.samples == 1 else gain
+        gain = max(1.0 / LEARN_SAMPLES, 1.0 / (endpoint.samples + 3))
         endpoint.slowness = max(0.1, endpoint.slowness + gain * (ratio - endpoint.slowness))
-        endpoint.slowness_at = now
