Draw requests for the arms of an experiment and choose inside the arm

Change: Balancer.split(now, Split) and policy/arms.py. The arm is drawn by a salted hash of the affinity, or of the request; shares are cuts of the hash. The ring is cut for each arm alone, so both choices, the fall-back on the ring, a home, a trial and repeats are of the arm. One that has no endpoint left that is well falls to the control arm; Send.arm tells where an attempt goes, arm_of where the request was assigned, so that what crossed can be counted. Cold budgets, caps, bans, health and the repeat rules bind as before. Room: state.py holds what the parts share, one loop cuts zones and arms, the tie rule of zones is one place.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -598,7 +598,7 @@
             one.told(first.entry("s-0"), second.entry("s-1"))
             assert one.upstream.pools[endpoint_number("s-0")].idle
             one.told(second.entry("s-1", lifecycle="ready"), whole=False)
-            vars(one.driver.balancer)["_pick"] = lambda now, req: one.driver.balancer.endpoints[
+            vars(one.driver.balancer.choice)["pick"] = lambda now, req, due: one.driver.balancer.endpoints[
                 endpoint_number("s-1")
             ]
             assert (await one.ask(request(rid="r2"))).body == b"ok"
@@ -797,7 +797,7 @@
             await read_message(resting)
             await one.ask(request())
             one.told(first.entry("s-0"), second.entry("s-1"))
-            vars(one.driver.balancer)["_pick"] = lambda now, req: one.driver.balancer.endpoints[
+            vars(one.driver.balancer.choice)["pick"] = lambda now, req, due: one.driver.balancer.endpoints[
                 endpoint_number("s-1")
             ]
             one.upstream.others, one.upstream.give_way = lambda: len(one.server.callers), one.server.give_way
--- a/woadyard/interface.py
+++ b/woadyard/interface.py
@@ -20,14 +20,17 @@
     timer(now, token)         a `Timer` asked for has come due
     trust(now, factors)       how far others' verdicts lower endpoints, by number
     limit(now, caps, others)  how many attempts each endpoint may have out from here
+    split(now, Split | None)  the experiment in force, told before the list that it speaks of
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from math import inf
 
+from woadyard.errors import PlanError
+
 # How an attempt ended. FULL, NO_CONNECT and MOOT prove that it never ran, FULL
 # only where `Settings.full_unproven` does not say otherwise.
 OK, ERROR, FULL, TIMEOUT, NO_CONNECT, RESET, CANCELLED, MOOT = range(8)
@@ -194,6 +197,29 @@
     kind: int
 
 
+@dataclass(slots=True, frozen=True)
+class Split:
+    """An experiment: arms are sets of endpoints, each with a share of the requests.
+
+    `woadyard.policy.arm_of` tells the arm that a request is assigned to. It is served there, repeats too;
+    where the arm has no endpoint that is well, by the control arm: then `Send.arm` is another.
+    """
+
+    revision: int
+    salt: int  # of the draw, 64 bits: other experiments draw others
+    shares: tuple[float, ...]  # by arm; they add up to 1
+    control: int  # the arm of endpoints that no other has
+    arm_of: Mapping[int, int]  # by endpoint
+
+    def __post_init__(self) -> None:
+        if not self.shares or abs(sum(self.shares) - 1.0) > 1e-6 or min(self.shares) < 0.0:
+            raise PlanError(f"shares of the arms must add up to 1: {self.shares}")
+        if not {self.control, *self.arm_of.values()} <= set(range(len(self.shares))):
+            raise PlanError(f"an endpoint or the control is of an arm that is none of {len(self.shares)}")
+        if not 0 <= self.salt < 2**64:
+            raise PlanError(f"the salt must be of 64 bits: {self.salt}")
+
+
 @dataclass(slots=True, frozen=True)
 class Arrival:
     """A request the sidecar has taken; `expires` is when its client gives up."""
@@ -207,6 +233,7 @@
     repeated: bool = False  # the client marked it as a further try
     home: int | None = None  # the endpoint to go to first, where it may: affinity
     loading: bool = False  # its body is still coming; `whole` tells of the last byte
+    affinity: int = 0  # what its arm is drawn by; 0 = by the request itself
 
 
 @dataclass(slots=True, frozen=True)
@@ -240,6 +267,7 @@
     request: int
     endpoint: int
     timeout_us: int
+    arm: int = 0  # that it goes to; 0 without a split
 
 
 @dataclass(slots=True, frozen=True)
--- a/woadyard/policy/admission.py
+++ b/woadyard/policy/admission.py
@@ -16,13 +16,11 @@
 # and by so many deviations of chance: a burst. Once more than the second was held for a whole look, it is the
 # bound until no more was held for two: a burst passes, a standing queue does not.
 HELD_OVER, HELD_CHANCE, STANDING_OVER, STANDING_CHANCE = 2.0, 1.5, 1.3, 0.5
-# Results that make an unloaded time at least: fewer tell mostly chance; looks over which it is taken, and
-# before which nothing is bounded by it; its rise per look: a long queue does not soon pass for usual, but a
-# changed service does in time.
+# Results that make an unloaded time; looks over which it is taken, and before which nothing is bounded by it;
+# its rise per look: a long queue does not soon pass for usual, but a changed service does in time.
 BASE_SAMPLES, CALM_LOOKS, BASE_RISE = 30, 2, 0.01
-# HELD_EACH for each endpoint that falls to a copy are always let through, HELD_MOST at most, as large counts
-# tell enough, and this part of them while a queue stands: shared out, they choke nobody. HELD_FEW is the
-# least where copies are many, HELD_MIN while answers are quick and no queue stands.
+# HELD_EACH for each endpoint that falls to a copy are always let through, HELD_MOST at most, and this part of
+# them while a queue stands; HELD_FEW where copies are many, HELD_MIN while answers are quick and none stands.
 HELD_EACH, HELD_MOST, HELD_PART, HELD_MIN, HELD_FEW = 8, 24, 0.75, 8, 2
 MIX_MEMORY = 100.0  # work asked for, in requests, over which its mix of worth is remembered
 # The most worthy work may fill the bound on held requests by this much more than the least worthy, that gives
@@ -76,8 +74,7 @@
         return chance < part and not self.full(now, held / (1.0 + WORTHY_MORE * less))
 
     def full(self, now: int, held: float) -> bool:
-        """Guards against choked endpoints: they queue for seconds before an answer is late, and the quick
-        answers alone tell nothing of it."""
+        """Guards against choked endpoints: they queue for seconds before an answer is late."""
         memory = ADMIT_MEMORY * self.took
         answers = self.results * exp((self.at - now) / memory) / memory
         usual = answers * self.base
@@ -117,8 +114,7 @@
         return less / total, more / total
 
     def _over(self, now: int, tenant: int) -> bool:
-        """Guards the others' share against a tenant that asks for more than its own: each copy meters an
-        equal part of the allowance."""
+        """Whether a tenant asks for more than its share; each copy meters an equal part of the allowance."""
         if tenant >= len(self.meters) or not self.settings.tenants[tenant]:
             return False
         rate = self.settings.tenants[tenant] / self.settings.instances / 1e6
--- a/woadyard/policy/balancer.py
+++ b/woadyard/policy/balancer.py
@@ -1,24 +1,22 @@
-"""The life of requests: from arrival over attempts to the one final answer.
+"""The life of requests: from arrival over attempts to the one final answer. No I/O, no clock, no threads.
 
-`Balancer` is the module's face (woadyard/interface.py has the settings, events and actions), composed of
-parts that each know one kind of decision. No I/O, no clock, no threads.
+`Balancer`, the module's face (woadyard/interface.py), is composed of parts that each know one decision.
 """
 
 from collections.abc import Mapping, Sequence
 
 from woadyard.interface import (  # isort: skip
-    CANCELLED, ERROR, FULL, KEYED, LIST_FAILED, MOOT, OK, RESET, TIMEOUT, Action, Arrival, Cancel, Entry,
-    Fail, Log, Outcome, Refuse, Send, Settings, Watch,
+    CANCELLED, ERROR, FULL, KEYED, MOOT, OK, RESET, TIMEOUT, Action, Arrival, Cancel, Entry,
+    Fail, Log, Outcome, Refuse, Send, Settings, Split, Watch,
 )  # fmt: skip
 from woadyard.policy.admission import HELD_EACH, HELD_MOST, Admission, Worth  # isort: skip
 from woadyard.policy.choice import Choice
-from woadyard.policy.context import TIMER_HOLD, TIMER_KINDS, TIMER_WATCH, Context
-from woadyard.policy.endpoint import MAX_HELD, Endpoint
 from woadyard.policy.health import BLAME, Health, SlowStart
 from woadyard.policy.membership import START_PART, TAKE_OVER_PART, Membership
 from woadyard.policy.order import Order
 from woadyard.policy.request import Attempt, Request
 from woadyard.policy.ring import Ring
+from woadyard.policy.state import MAX_HELD, TIMER_HOLD, TIMER_KINDS, TIMER_WATCH, Context, Endpoint
 
 # Retry tokens earned by each first try, and the most saved up: retries add this share, and never multiply.
 RETRY_EARN, RETRY_CAP = 0.2, 5.0
@@ -47,7 +45,7 @@
         return out
 
     def start(self, now: int, alone: bool = True) -> list[Action]:
-        self.ctx.begin(now)
+        self.ctx.sends.began = self.ctx.served.began = now
         self.membership.ask(START_PART if alone else TAKE_OVER_PART)
         return self._taken(now)
 
@@ -59,16 +57,21 @@
         self.worth = Worth(settings, self.ctx.longest_aim)
         for endpoint in self.endpoints.values():
             endpoint.retune(self.ctx.kinds, same)
+        return self._settled(now)
+
+    def split(self, now: int, split: Split | None) -> list[Action]:
+        """The experiment in force, or none."""
+        self.ctx.split = split
+        return self._settled(now)
+
+    def _settled(self, now: int) -> list[Action]:
         for request in [*self.requests.values(), *self.ended.values()]:
-            request.settle(self.ctx.tenants)
+            request.settle(self.ctx)
         self.ring.cut()
         return self._taken(now)
 
     def members(self, now: int, mode: int, entries: Sequence[Entry]) -> list[Action]:
-        if mode == LIST_FAILED:
-            self.membership.failed()
-        else:
-            self.membership.listed(now, mode, entries)
+        self.membership.listed(now, mode, entries)
         return self._taken(now)
 
     def detach(self, now: int, number: int) -> list[Action]:
@@ -92,7 +95,7 @@
         return self._taken(now)
 
     def request(self, now: int, event: Arrival) -> list[Action]:
-        request = Request(now, event, self.s)
+        request = Request(now, event, self.ctx)
         self.requests[request.id] = request
         self.retry_tokens = min(RETRY_CAP, self.retry_tokens + RETRY_EARN)
         if self._admits(now, event) and self.order.queue(now, request):
@@ -152,10 +155,9 @@
 
     def _admits(self, now: int, event: Arrival) -> bool:
         """Only where it enters: further down, a refusal would waste what the tiers above have done for it."""
-        if self.s.stage != 0:
-            return True
-        held, place = self._held(now), self.worth.place(now, event)
-        return self.admission.admits(now, held, place, self.ctx.rng.random())
+        return self.s.stage != 0 or self.admission.admits(
+            now, self._held(now), self.worth.place(now, event), self.ctx.rng.random()
+        )
 
     def _held(self, now: int) -> int:
         """Requests that load the endpoints; tells admission how many of those bear them. What is out at a
@@ -180,7 +182,7 @@
             self._end(now, request)
             return
         if waits := self.order.has_turn(now, request):
-            endpoint = self._pick(now, request)
+            endpoint = self.choice.pick(now, request, self.membership.due(now, request))
             if endpoint is not None and self._send(now, request, endpoint):
                 return
         hold = self.ctx.pause(request.cls.aim_us)
@@ -189,9 +191,6 @@
         elif waits:
             self.ctx.timer(TIMER_HOLD, request.id, hold)
 
-    def _pick(self, now: int, request: Request) -> Endpoint | None:
-        return self.choice.pick(now, request, self.membership.due(now, request))
-
     def _send(self, now: int, request: Request, endpoint: Endpoint) -> bool:
         """The one guard: every send passes here and keeps the rules: attempts, second copies, repeat scope
         and window, drain, order, shared limit, cold budget."""
@@ -209,7 +208,7 @@
         if request.key:
             self.order.turns[request.key].out += 1
         self.ctx.sends.add(now)
-        self.out.append(Send(request.id, endpoint.id, request.expires - now))
+        self.out.append(Send(request.id, endpoint.id, request.expires - now, endpoint.arm))
         return True
 
     def _ended(self, now: int, request: Request, event: Outcome) -> None:
@@ -256,12 +255,9 @@
         """The one place that gives final answers. A refusal promises that a retry is harmless."""
         if request.streaming:
             return
-        if request.harmless():
-            # It may come back when this copy would ask again: longer advice had tries come back together.
-            pause = self.ctx.pause(request.cls.aim_us) if self.s.retry_after else 0
-            self.out.append(Refuse(request.id, pause))
-        else:
-            self.out.append(Fail(request.id))
+        # It may come back when this copy would ask again: longer advice had tries come back together.
+        pause = self.ctx.pause(request.cls.aim_us) if self.s.retry_after else 0
+        self.out.append(Refuse(request.id, pause) if request.harmless() else Fail(request.id))
         self._forget(now, request)
 
     def _forget(self, now: int, request: Request) -> None:
--- a/woadyard/policy/choice.py
+++ b/woadyard/policy/choice.py
@@ -3,16 +3,15 @@
 from collections.abc import Sequence
 
 from woadyard.interface import KEYED, SCOPE_ALL
-from woadyard.policy.context import Context
-from woadyard.policy.endpoint import Endpoint
 from woadyard.policy.health import Health, SlowStart
 from woadyard.policy.request import Request
 from woadyard.policy.ring import Group, Ring
+from woadyard.policy.state import Context, Endpoint
 from woadyard.policy.zones import Zones
 
 DRAW_MAX = 32  # a longer group is sampled first: bounds the work of a pick on the whole ring
 STALL_WEIGHT = 0.05  # what is left of the weight of an endpoint that looks frozen
-HOME_HEALTH = 0.3  # with less a home is passed by: two failures of most kinds
+WELL = 0.3  # with less health a home, or all of an arm, is passed by: two failures of most kinds
 
 
 class Choice:
@@ -20,22 +19,34 @@
         self.ctx, self.ring, self.health, self.slow = ctx, ring, health, slow
 
     def pick(self, now: int, request: Request, due: Endpoint | None) -> Endpoint | None:
-        """Where to send it, if anywhere now; `due` is an endpoint that waits for its trial."""
+        """Where to send it, if anywhere now. One whose arm has none that is well goes to the control arm."""
+        found, split = self._pick(now, request, due), self.ctx.split
+        if split is None or request.arm == split.control:
+            return found
+        mine = (one for one in self.ring.ready() if one.arm == request.arm)
+        if found and any(self.health.of(now, one, request.sort) >= WELL for one in mine):
+            return found
+        own, request.arm = request.arm, split.control
+        other = self._pick(now, request, None)
+        request.arm = request.arm if other else own
+        return other or found
+
+    def _pick(self, now: int, request: Request, due: Endpoint | None) -> Endpoint | None:
         maybe = request.first_maybe()
         if maybe is not None and request.cls.effect == KEYED and request.cls.scope != SCOPE_ALL:
             return self._among(now, request, [one for one in self.ring.ready() if request.in_scope(one)])
         found = due or self._home(now, request)
         zones = self.ctx.zones
-        groups = self._near(now, request, zones) if zones else self.ring.groups
+        groups = self._near(now, request, zones) if zones else self.ring.by_part[request.arm]
         found = found or self._choose(now, request, groups)
         if found is None and (zones or self.ring.arc_size < len(self.ring.order)):
             # The whole arc is unusable: fall back on the ring.
-            found = self._among(now, request, self.ring.ready())
+            found = self._among(now, request, [one for one in self.ring.ready() if one.arm == request.arm])
         return found
 
     def _near(self, now: int, request: Request, zones: Zones) -> list[Group]:
         """The groups of the zone that this request goes to; what failed in one is tried in the others."""
-        by_zone = self.ring.by_zone
+        by_zone = self.ring.by_part
         if request.attempts:
             failed = request.attempts[-1].endpoint.zone
             return [group for n, groups in enumerate(by_zone) if n != failed for group in groups]
@@ -53,7 +64,7 @@
         """The endpoint of the request's affinity, as long as it is well."""
         home = self.ring.endpoints.get(request.home) if request.home is not None else None
         well = home and home.ready and self._eligible(now, request, home)
-        return home if home and well and self.health.of(now, home, request.sort) >= HOME_HEALTH else None
+        return home if home and well and self.health.of(now, home, request.sort) >= WELL else None
 
     def _among(self, now: int, request: Request, some: list[Endpoint]) -> Endpoint | None:
         cut = (len(some) + 1) // 2
@@ -61,8 +72,7 @@
         return self._choose(now, request, groups)
 
     def _choose(self, now: int, request: Request, groups: Sequence[Group]) -> Endpoint | None:
-        """The design's rule: one draw from each group, fewer own calls in flight wins, ties go left; a group
-        without an eligible endpoint yields."""
+        """One draw from each group that has an eligible endpoint: fewer own calls win, ties go left."""
         drawn = [one for one in (self._draw(now, request, group) for group in groups) if one is not None]
         best = min(drawn, key=lambda one: one.inflight, default=None)
         for other in drawn:
@@ -86,7 +96,12 @@
 
     def _eligible(self, now: int, request: Request, endpoint: Endpoint) -> bool:
         tried = any(attempt.endpoint is endpoint for attempt in request.attempts)
-        if tried or now < endpoint.crowded or endpoint.inflight >= endpoint.cap:
+        if (
+            tried
+            or endpoint.arm != request.arm
+            or now < endpoint.crowded
+            or endpoint.inflight >= endpoint.cap
+        ):
             return False
         return not self.slow.is_cold(now, endpoint) or self.slow.budget(now, endpoint) >= 1.0
 
--- a/woadyard/policy/health.py
+++ b/woadyard/policy/health.py
@@ -3,13 +3,11 @@
 from math import exp
 
 from woadyard.interface import DEGRADED, EJECTED, ERROR, FULL, NO_CONNECT, RESET, TIMEOUT
-from woadyard.policy.context import Context
-from woadyard.policy.endpoint import LEARN_SAMPLES, Endpoint
 from woadyard.policy.request import Request
 from woadyard.policy.ring import Ring
+from woadyard.policy.state import LEARN_SAMPLES, Context, Endpoint
 
-# What one failure leaves of an endpoint's health, by how surely it tells of a broken endpoint; fullness tells
-# of load more than of a fault.
+# What one failure leaves of an endpoint's health; fullness tells of load more than of a fault.
 BLAME = {ERROR: 0.4, FULL: 0.7, TIMEOUT: 0.2, NO_CONNECT: 0.5, RESET: 0.2}
 BLAME_OTHERS = 0.5  # power of what the other classes and tenants take for a failure of one
 CROWDED_FOR = 1.0  # usual latencies for which a full one is left alone: all next tries would keep it full
@@ -79,8 +77,7 @@
         return now - endpoint.quiet_since > (long if usual.samples >= LEARN_SAMPLES else self.ctx.longest_aim)
 
     def of(self, now: int, endpoint: Endpoint, sort: int) -> float:
-        """Health by now: damage heals with time, slower after repeated failures. It only counts against the
-        others' in a draw, so failures that strike all alike eject nobody."""
+        """By now: damage heals with time. It counts against others', so what strikes all ejects nobody."""
         health, at, failures = endpoint.health[sort]
         memory = max(HEAL_MEMORY * self.ctx.longest_aim, self.heal_sends)
         memory *= 2.0 ** min(failures, HEAL_DOUBLINGS)
@@ -113,14 +110,11 @@
         usual = self.ctx.latencies[request.kind]
         usual.add(delay_us)
         self.ctx.latency.add(delay_us)
-        self._learn(endpoint, min(delay_us / max(1.0, usual.mean), 8.0))
+        ratio = min(delay_us / max(1.0, usual.mean), 8.0)
+        endpoint.samples += 1
+        gain = max(1.0 / LEARN_SAMPLES, 1.0 / (endpoint.samples + 3))
+        endpoint.slowness = max(0.1, endpoint.slowness + gain * (ratio - endpoint.slowness))
         if endpoint.slowness >= TOLD_SLOWNESS and endpoint.samples >= LEARN_SAMPLES:
             self.ctx.accuse(endpoint, DEGRADED)
         elif endpoint.accused and not self.slow.is_cold(now, endpoint) and min(endpoint.health)[0] == 1.0:
             self.ctx.accuse(endpoint, None)
-
-    def _learn(self, endpoint: Endpoint, ratio: float) -> None:
-        """How slow it is against its peers."""
-        endpoint.samples += 1
-        gain = max(1.0 / LEARN_SAMPLES, 1.0 / (endpoint.samples + 3))
-        endpoint.slowness = max(0.1, endpoint.slowness + gain * (ratio - endpoint.slowness))
--- a/woadyard/policy/membership.py
+++ b/woadyard/policy/membership.py
@@ -3,11 +3,10 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from woadyard.interface import COLD, LIST_DELTA, MOOT, NO_CONNECT, READY, Entry
-from woadyard.policy.context import TIMER_WATCH, Context
-from woadyard.policy.endpoint import Endpoint
+from woadyard.interface import COLD, LIST_DELTA, LIST_FAILED, MOOT, NO_CONNECT, READY, Entry
 from woadyard.policy.request import Request
 from woadyard.policy.ring import Ring
+from woadyard.policy.state import TIMER_WATCH, Context, Endpoint
 
 # Discovery is asked first within these parts of the time it may go unasked (one that takes over starts for
 # itself), and again within this part, doubled by failures up to the last.
@@ -30,12 +29,12 @@
         if self.ctx.s.asks_discovery:
             self.ctx.timer(TIMER_WATCH, 0, int(part * self.ctx.s.ask_within_us * self.ctx.rng.random()))
 
-    def failed(self) -> None:
-        """Guards drains, told or not while nobody listens; failures in a row spread copies."""
-        self.ask(min(ASK_MOST, ASK_AGAIN * 2.0**self.unheard))
-        self.unheard += 1
-
     def listed(self, now: int, mode: int, entries: Sequence[Entry]) -> None:
+        if mode == LIST_FAILED:
+            # Guards drains, told or not while nobody listens; failures in a row spread copies.
+            self.ask(min(ASK_MOST, ASK_AGAIN * 2.0**self.unheard))
+            self.unheard += 1
+            return
         self.unheard, changed = 0, False
         if mode != LIST_DELTA:
             named = {entry.endpoint for entry in entries}
@@ -58,8 +57,8 @@
         is due, as its draws may be few."""
         if number not in self.banned:
             return
-        self.attached = {one: at for one, at in self.attached.items() if now < at + self.ctx.s.cold_us}
-        self.attached[number] = now
+        kept = {one: at for one, at in self.attached.items() if now < at + self.ctx.s.cold_us}
+        self.attached = kept | {number: now}
         entry = self.banned.pop(number)
         if entry and self._apply(now, entry):
             self.ring.cut()
@@ -69,11 +68,11 @@
 
     def due(self, now: int, request: Request) -> Endpoint | None:
         """An endpoint that came back and is due its first request."""
-        for number, due in self.trials.items():
-            endpoint = self.ring.endpoints.get(number)
-            if endpoint and endpoint.own and endpoint.ready and now >= due and not request.attempts:
-                endpoint.budget = max(1.0, endpoint.budget)
-                return endpoint
+        for number, due in () if request.attempts else self.trials.items():
+            one = self.ring.endpoints.get(number)
+            if one and one.own and one.ready and now >= due and one.arm == request.arm:
+                one.budget = max(1.0, one.budget)
+                return one
         return None
 
     def ended(self, now: int, number: int, outcome: int) -> None:
--- a/woadyard/policy/order.py
+++ b/woadyard/policy/order.py
@@ -3,8 +3,8 @@
 from collections import deque
 
 from woadyard.interface import CANCELLED, RESET, TIMEOUT
-from woadyard.policy.context import TIMER_HOLD, Context
 from woadyard.policy.request import Request
+from woadyard.policy.state import TIMER_HOLD, Context
 
 
 class Turn:
--- a/woadyard/policy/request.py
+++ b/woadyard/policy/request.py
@@ -1,7 +1,8 @@
 """One request under way, its attempts, and which repeats of it are allowed."""
 
 from woadyard.interface import KEYED, SAFE, SCOPE_ALL, SCOPE_ZONE, Arrival, Settings
-from woadyard.policy.endpoint import Endpoint
+from woadyard.policy.arms import arm_of
+from woadyard.policy.state import Context, Endpoint
 
 
 class Attempt:
@@ -18,19 +19,19 @@
 
 
 class Request:
-    def __init__(self, now: int, event: Arrival, settings: Settings) -> None:
+    def __init__(self, now: int, event: Arrival, ctx: Context) -> None:
         self.id, self.arrived, self.expires = event.request, now, event.expires
-        self.kind, self.cls, self.tenant = event.cls, settings.classes[event.cls], event.tenant
-        self.most = settings.max_attempts
-        self.settle(max(1, len(settings.tenants)))
+        self.kind, self.cls, self.tenant = event.cls, ctx.s.classes[event.cls], event.tenant
         self.key = event.key if self.cls.sequential else 0
-        self.home = event.home
+        self.home, self.affinity = event.home, event.affinity
         self.attempts: list[Attempt] = []
-        self.loading, self.spent = event.loading, False  # the body: not whole, and gone in part
-        self.streaming = 0  # when its answer began to be passed on
+        self.loading, self.spent, self.streaming = event.loading, False, 0  # body; when the answer began
+        self.settle(ctx)
 
-    def settle(self, tenants: int) -> None:
-        self.sort = self.kind * tenants + min(self.tenant, tenants - 1)
+    def settle(self, ctx: Context) -> None:
+        """What follows from settings and experiment, which may be new: sort by class and tenant, and arm."""
+        self.sort = self.kind * ctx.tenants + min(self.tenant, ctx.tenants - 1)
+        self.arm = arm_of(ctx.split, self.affinity, self.id)
 
     def last_us(self) -> int:
         """Past this an answer is worth nothing, or comes too late."""
@@ -54,7 +55,7 @@
 
     def may_repeat(self, now: int, settings: Settings) -> bool:
         """Whether a further attempt is allowed at all, wherever it goes."""
-        if len(self.attempts) >= min(self.most, settings.max_attempts) or self.streaming:
+        if len(self.attempts) >= settings.max_attempts or self.streaming:
             return False
         if self.spent or now >= self.expires or not (settings.second_copies or not self.outstanding()):
             return False
--- a/woadyard/policy/ring.py
+++ b/woadyard/policy/ring.py
@@ -3,9 +3,7 @@
 from bisect import bisect_left, insort
 from math import ceil
 
-from woadyard.policy.context import Context
-from woadyard.policy.endpoint import Endpoint
-from woadyard.policy.zones import Zones
+from woadyard.policy.state import Context, Endpoint
 
 COVERAGE = 4  # copies that draw each endpoint at least, so that their unequal traffic evens out
 GROUP_MIN = 2  # endpoints of a group at least: one leaves no draw, with more each is heard of too seldom
@@ -21,7 +19,7 @@
         self.endpoints: dict[int, Endpoint] = {}
         self.order: Order = []
         self.groups: list[Group] = []
-        self.by_zone: list[list[Group]] = []
+        self.by_part: list[list[Group]] = [[]]  # by zone, else by arm
         self.arc_size, self.depth = 1.0, 1  # endpoints on the arc, and copies that draw each
 
     def ready(self) -> list[Endpoint]:
@@ -52,49 +50,51 @@
         """Own arc of the shared order; left, right. Copies start evenly spaced and a group is a whole number
         of spacings long, so that every point lies in the left groups of equally many copies, and in the right
         ones too. An endpoint that an edge cuts stands in the group with the share that lies inside."""
-        s, near = self.ctx.s, self.order
-        if s.zones > 1 and s.cross_zone_price > 0.0:
-            near = [pair for pair in near if pair[1].zone == s.zone]
-        if self.ctx.zones is not None:
-            self._cut_zones(self.ctx.zones)
-        elif GROUP_MIN <= len(near) < len(self.order):
-            far = [pair for pair in self.order if pair[1].zone != s.zone]
-            copies = max(1.0, s.instances / s.zones)
-            self.groups = [self._arc(near, copies), self._arc(far, copies)]
-            self.arc_size, self.depth = float(sum(map(len, self.groups))), COVERAGE
+        s, zones, split = self.ctx.s, self.ctx.zones, self.ctx.split
+        for _, one in self.order:
+            one.arm = split.arm_of.get(one.id, split.control) if split else 0
+        parts: list[Order] = [[] for _ in range(s.zones if zones else len(split.shares) if split else 1)]
+        for pair in self.order:
+            parts[pair[1].zone if zones else pair[1].arm].append(pair)
+        if zones:
+            zones.due = 0
+            copies = [s.instances // (s.zones if n == s.zone else 1) or 1 for n in range(s.zones)]
+            cuts = [self._two(part, many) for part, many in zip(parts, copies, strict=True)]
+            # Its endpoints count as shared by all zones' sidecars, as the cold ones must.
+            self.arc_size, self.depth = cuts[s.zone][1] * s.zones, cuts[s.zone][2] * s.zones
         else:
-            self.groups, self.arc_size, self.depth = self._two(self.order, s.instances)
+            cuts = [self._near_far(part) for part in parts]
+            self.arc_size, self.depth = sum(size for _, size, _ in cuts), max(depth for _, _, depth in cuts)
+        self.by_part = [groups for groups, _, _ in cuts]
+        self.groups = [group for groups in self.by_part for group in groups]
         own = {one.id for group in self.groups for one, _ in group}
         for endpoint in self.endpoints.values():
             endpoint.own = endpoint.id in own
 
-    def _cut_zones(self, zones: Zones) -> None:
-        """Two groups a zone; its endpoints count as shared by all zones' sidecars, as the cold ones must."""
-        s, zones.due = self.ctx.s, 0
-        copies = [s.instances // (s.zones if n == s.zone else 1) or 1 for n in range(s.zones)]
-        parts = [[pair for pair in self.order if pair[1].zone == n] for n in range(s.zones)]
-        cuts = [self._two(part, many) for part, many in zip(parts, copies, strict=True)]
-        self.by_zone = [groups for groups, _, _ in cuts]
-        self.arc_size, self.depth = cuts[s.zone][1] * s.zones, cuts[s.zone][2] * s.zones
-        self.groups = [group for groups in self.by_zone for group in groups]
+    def _near_far(self, order: Order) -> tuple[list[Group], float, int]:
+        """As `_two`; the left group in the own zone, so that ties stay there, where crossing has a price."""
+        s, near = self.ctx.s, order
+        if s.zones > 1 and s.cross_zone_price > 0.0:
+            near = [pair for pair in order if pair[1].zone == s.zone]
+        if not GROUP_MIN <= len(near) < len(order):
+            return self._two(order, s.instances)
+        groups: list[Group] = []
+        for part in (near, [pair for pair in order if pair[1].zone != s.zone]):
+            step = len(part) / max(1.0, s.instances / s.zones)
+            size = min(len(part), max(GROUP_MIN, COVERAGE / 2 * step))
+            groups.append(_span(part, s.me * step, s.me * step + size))
+        return groups, float(sum(map(len, groups))), COVERAGE
 
     def _two(self, order: Order, copies: int) -> tuple[list[Group], float, int]:
         """Left and right, how many endpoints they span, and by how many copies each is drawn."""
-        size = len(order)
-        step = size / copies
+        step = len(order) / copies
         start = self.ctx.s.me * step
-        depth = min(copies, max(COVERAGE, ceil(2 * GROUP_MIN / step))) if size else 0
+        depth = min(copies, max(COVERAGE, ceil(2 * GROUP_MIN / step))) if order else 0
         half = round(depth / 2) if depth >= 2 else depth / 2  # whole spacings, all groups alike
         middle, end = start + half * step, start + depth * step
         groups = [_span(order, start, middle), _span(order, middle, end)]
         return groups, max(1.0, depth * step), max(1, depth)
 
-    def _arc(self, order: Order, copies: float) -> Group:
-        """One group on a part of the order, from the copy's own offset there."""
-        step = len(order) / copies
-        start = self.ctx.s.me * step
-        return _span(order, start, start + min(len(order), max(GROUP_MIN, COVERAGE / 2 * step)))
-
 
 def _span(order: Order, start: float, end: float) -> Group:
     spanned = [(at, min(end, at + 1) - max(start, at)) for at in range(int(start), ceil(end - EDGE))]
--- a/woadyard/policy/endpoint.py
+++ b/woadyard/policy/state.py
@@ -1,9 +1,13 @@
-"""What a copy knows of one endpoint, and the running figures that it learns from."""
+"""The state that the parts of one copy share: settings, chance, actions, rates, and endpoints."""
 
+import random
 from math import exp
 
-from woadyard.interface import Entry
+from woadyard.interface import FULL, NEVER_RAN, Action, Entry, Settings, Split, Timer, Verdict
+from woadyard.policy.zones import Zones
 
+HOLD_SHARE = 0.02  # of the class's aim: pause before asking again for an endpoint when none may be drawn
+TIMER_HOLD, TIMER_WATCH, TIMER_KINDS = range(3)
 MAX_HELD = 1e6  # attempts out at an endpoint where no limit is shared
 LEARN_SAMPLES = 16  # memory of a service at most: a few tell speeds of 3:1 apart
 LATENCY_GAIN, LATENCY_CLIP = 0.05, 2.0  # of the copy's latency mean and deviation, as in TCP's timer
@@ -15,7 +19,7 @@
         self.place(entry)
         self.boot, self.rating = entry.boot, entry.rating
         self.ready = self.own = False  # own: it stands on this copy's arc
-        self.inflight = self.quiet_since = 0
+        self.inflight = self.quiet_since = self.arm = 0
         self.moving = 0  # of those in flight, bodies and answers on their way: no answer is owed yet
         self.crowded = 0  # it was full: nothing is sent before this
         self.budget, self.budget_at = 0.0, 0
@@ -71,9 +75,9 @@
 class Rate:
     """Events per µs with exponential forgetting, unbiased from the start."""
 
-    def __init__(self, memory_us: float, now: int) -> None:
+    def __init__(self, memory_us: float) -> None:
         self.memory, self.sum = memory_us, 0.0
-        self.at = self.began = now
+        self.at = self.began = 0
 
     def add(self, now: int) -> None:
         self.sum = self.sum * exp((self.at - now) / self.memory) + 1.0
@@ -83,3 +87,40 @@
         # 0.02: a shorter look can't tell a rate from chance.
         seen = max(0.02, 1.0 - exp((self.began - now) / self.memory))
         return self.sum * exp((self.at - now) / self.memory) / (self.memory * seen)
+
+
+class Context:
+    def __init__(self, seed: int, settings: Settings) -> None:
+        self.rng = random.Random(seed)
+        self.out: list[Action] = []
+        self.latencies: list[Latency] = []  # by class
+        self.latency = Latency()
+        self.zones: Zones | None = None
+        self.split: Split | None = None  # the experiment in force
+        self.derive(settings)
+        self.sends, self.served = Rate(self.longest_aim), Rate(self.longest_aim)
+
+    def derive(self, settings: Settings) -> None:
+        """All that follows from the settings alone."""
+        self.s = settings
+        self.proofs = NEVER_RAN - {FULL} if settings.full_unproven else NEVER_RAN
+        # Also the memory of the copy's own rates: long enough to average, short enough to follow a ramp.
+        self.longest_aim = max(c.aim_us for n, c in enumerate(settings.classes) if n not in settings.retired)
+        self.latencies += [Latency() for _ in settings.classes[len(self.latencies) :]]
+        old, known = self.zones, settings.locality
+        if known is None or old is None or old.s != known or len(old.zones) != settings.zones:
+            self.zones = Zones(known, settings.zone, settings.zones) if known else None
+        self.tenants = max(1, len(settings.tenants))
+        self.kinds = len(settings.classes) * self.tenants
+
+    def timer(self, kind: int, value: int, delay_us: int) -> None:
+        self.out.append(Timer(value * TIMER_KINDS + kind, delay_us))
+
+    def pause(self, aim_us: int) -> int:
+        return max(self.s.resolution_us, int(HOLD_SHARE * aim_us))
+
+    def accuse(self, endpoint: Endpoint, state: str | None) -> None:
+        """Tell the others, again as long as it holds: what is not told again lapses."""
+        if self.s.shares_verdicts:
+            endpoint.accused = state
+            self.out.append(Verdict(endpoint.id, state))
