Bound what a started copy holds from its first request, and by half the aim at most

Cause, herd+mass on: 23 of 33 front sidecars restart at 14.5 s. A new copy had no bound on held requests until it had seen four times its own latency; in a jam that latency grew, so it stayed unbounded for 5 to 8 s, and then took the jam's 1.0 to 2.4 s for the unloaded time (0.38 s before). Three busy copies held 160 to 200 each, all fronts together 1,300 to 2,180 where 430 is usual, and endpoints that choked stayed choked for 10 s and more. The second tier stood half idle meanwhile.

A copy is now bounded from its first request, to half the floor while it knows no unloaded time; and more than half of the mean aim is never taken for unloaded.

The new tests fail without the change.

--- a/woadyard/policy/admission.py
+++ b/woadyard/policy/admission.py
@@ -17,14 +17,14 @@
 # and by so many deviations of chance: a burst. Once more than the second was held for a whole look, it is the
 # bound until no more was held for two: a burst passes, a standing queue does not.
 HELD_OVER, HELD_CHANCE, STANDING_OVER, STANDING_CHANCE = 2.0, 1.5, 1.3, 0.5
-# Results that make an unloaded time at least: fewer tell mostly chance; looks over which it is taken, and
-# before which nothing is bounded by it; its rise per look: a long queue does not soon pass for usual, but a
-# changed service does in time.
-BASE_SAMPLES, CALM_LOOKS, BASE_RISE = 30, 2, 0.01
+# Results that make an unloaded time at least: fewer tell mostly chance; looks over which it is taken; its
+# rise per look: a long queue does not soon pass for usual, but a changed service does in time. More than
+# this part of the aim is no unloaded time: a copy that starts into a jam would learn the jam.
+BASE_SAMPLES, CALM_LOOKS, BASE_RISE, BASE_MOST = 30, 2, 0.01, 0.5
 # HELD_EACH for each endpoint that falls to a copy are always let through, HELD_MOST at most, as large counts
-# tell enough, and this part of them while a queue stands: shared out, they choke nobody. HELD_FEW is the
-# least where copies are many, HELD_MIN while answers are quick and no queue stands.
-HELD_EACH, HELD_MOST, HELD_PART, HELD_MIN, HELD_FEW = 8, 24, 0.75, 8, 2
+# tell enough; this part of them while a copy knows no unloaded time yet, and while a queue stands: shared
+# out, they choke nobody. HELD_FEW is least where copies are many, HELD_MIN with quick answers and no queue.
+HELD_EACH, HELD_MOST, HELD_NEW, HELD_PART, HELD_MIN, HELD_FEW = 8, 24, 0.5, 0.75, 8, 2
 MIX_MEMORY = 100.0  # work asked for, in requests, over which its mix of worth is remembered
 # The most worthy work may fill the bound on held requests by this much more than the least worthy, that gives
 # way first; that still gets this part of what all would get alike, as a class must not starve.
@@ -38,7 +38,7 @@
 
     def __init__(self, aim_us: float) -> None:
         # What a request takes by now, over more looks, for less noise, and unloaded: the least of those.
-        self.took = self.calm = self.base = aim_us
+        self.took = self.calm = self.base = self.aim = aim_us  # and the mean aim
         self.count, self.results = 0, 0.0  # in all, and within the present look
         self.began = self.at = self.calm_at = self.busy_at = 0  # when few were last held, and many
         self.settled = self.standing = False
@@ -46,13 +46,14 @@
         self.bounded = -1  # when the bound on held requests last refused one
         self.share = 1.0
 
-    def note(self, now: int, took: int, good: bool, answered: bool) -> None:
+    def note(self, now: int, took: int, good: bool, answered: bool, aim: int) -> None:
         """One admitted request's result; the steps balance at ADMIT_GOOD, at less the more is shed."""
         memory = ADMIT_MEMORY * self.took
         self.results = self.results * exp((self.at - now) / memory) + 1.0
         self.at = now
         self.count += 1
         look = max(self.results, ADMIT_SAMPLES)
+        self.aim += (aim - self.aim) / min(self.count, BASE_SAMPLES)
         self.took += (max(took, 1) - self.took) / min(self.count, look)
         self.calm += (max(took, 1) - self.calm) / min(self.count, max(BASE_SAMPLES, CALM_LOOKS * look))
         self.began = self.began or now - took
@@ -82,7 +83,7 @@
         answers alone tell nothing of it."""
         memory = ADMIT_MEMORY * self.took
         answers = self.results * exp((self.at - now) / memory) / memory
-        usual = answers * self.base
+        usual = answers * min(self.base, BASE_MOST * self.aim)
         # Fewer than HELD_FEW are no queue, however seldom this copy is asked.
         tight = max(HELD_FEW, STANDING_OVER * usual + STANDING_CHANCE * sqrt(usual))
         loose = HELD_OVER * usual + HELD_CHANCE * sqrt(usual)
@@ -91,8 +92,9 @@
         # A queue stands once it lasted for a look; it is over once none was seen for two.
         self.standing |= self.settled and now - self.calm_at > memory
         self.standing &= now - self.busy_at < 2.0 * memory
-        least = max(HELD_FEW if slow else HELD_MIN, self.least * (HELD_PART if self.standing else 1.0))
-        full = self.settled and held > max(least, tight if self.standing else loose)
+        part = HELD_PART if self.standing else 1.0 if self.settled else HELD_NEW
+        least = max(HELD_FEW if slow else HELD_MIN, self.least * part)
+        full = held > max(least, tight if self.standing else loose)
         self.bounded = now if full else self.bounded
         return full
 
--- a/woadyard/policy/balancer.py
+++ b/woadyard/policy/balancer.py
@@ -250,7 +250,7 @@
         if outcome not in (ERROR, RESET):
             took = (request.streaming or now) - request.arrived
             good = outcome == OK and took <= request.cls.aim_us
-            self.admission.note(now, took, good, outcome == OK)
+            self.admission.note(now, took, good, outcome == OK, request.cls.aim_us)
 
     def _end(self, now: int, request: Request) -> None:
         """The one place that gives final answers. A refusal promises that a retry is harmless."""
