--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -13,6 +13,7 @@
     GONE,
     KEYED,
     LIST_DELTA,
+    LIST_FULL,
     OK,
     RESET,
     SCOPE_CELL,
@@ -165,3 +166,14 @@
     back = driver.balancer.outcome(SECOND + MS, Outcome(rid, 0, first, RESET, MS))
     assert (sends(back)[0].endpoint - 100) // 4 == 1 - cell
     assert len(driver.balancer.ring.order) == 8
+
+
+def test_no_endpoint_is_drawn_by_more_copies_than_need_be_where_zones_are_many() -> None:
+    """Herd day: six zones' copies each held a sixth of the ring, and connections to all of it."""
+    drawn: Counter[int] = Counter()
+    entries = [replace(entry, zone=n % 6) for n, entry in enumerate(fleet(120))]
+    for me in range(24):
+        balancer = started(0, instances=24, me=me, zones=6, zone=me % 6, cross_zone_price=0.02)
+        balancer.members(0, LIST_FULL, entries)
+        drawn.update({one.id for group in balancer.ring.groups for one, _ in group})
+    assert len(drawn) == 120 and sum(drawn.values()) / 120 < 6.0
--- a/woadyard/policy/ring.py
+++ b/woadyard/policy/ring.py
@@ -60,7 +60,7 @@
         elif GROUP_MIN <= len(near) < len(self.order):
             far = [pair for pair in self.order if pair[1].zone != s.zone]
             copies = max(1.0, s.instances / s.zones)
-            self.groups = [self._arc(near, copies), self._arc(far, copies)]
+            self.groups = [self._arc(near, copies), self._arc(far, copies * (s.zones - 1))]
             self.arc_size, self.depth = float(sum(map(len, self.groups))), COVERAGE
         else:
             self.groups, self.arc_size, self.depth = self._two(self.order, s.instances)
