--- a/woadyard/policy/health.py
+++ b/woadyard/policy/health.py
@@ -12,7 +12,7 @@
 LEARN_MEMORY, LEARN_GAIN_MAX = 2.0, 0.5
 # What one failure leaves of an endpoint's health, by how surely it tells of a broken endpoint; fullness tells
 # of load more than of a fault.
-BLAME = {ERROR: 0.4, FULL: 0.7, TIMEOUT: 0.2, NO_CONNECT: 0.5, RESET: 0.2}
+BLAME = {ERROR: 0.4, FULL: 0.7, TIMEOUT: 0.2, NO_CONNECT: 0.15, RESET: 0.2}
 BLAME_OTHERS = 0.5  # power of what the other classes and tenants take for a failure of one
 CROWDED_FOR = 1.0  # usual latencies for which a full one is left alone: all next tries would keep it full
 # One answer repairs this share of the damage; time repairs it with a memory of this many aims, and so many
