--- a/woadyard/policy/ring.py
+++ b/woadyard/policy/ring.py
@@ -79,8 +79,9 @@
         if not GROUP_MIN <= len(near) < len(order):
             return self._two(order, s.instances)
         groups: list[Group] = []
-        for part in (near, [pair for pair in order if pair[1].zone != s.zone]):
-            step = len(part) / max(1.0, s.instances / s.zones)
+        far, copies = [pair for pair in order if pair[1].zone != s.zone], max(1.0, s.instances / s.zones)
+        for part, many in ((near, copies), (far, copies * (s.zones - 1))):
+            step = len(part) / many
             size = min(len(part), max(GROUP_MIN, COVERAGE / 2 * step))
             groups.append(_span(part, s.me * step, s.me * step + size))
         return groups, float(sum(map(len, groups))), COVERAGE
