--- a/benchmarks/metrics_cost.py
+++ b/benchmarks/metrics_cost.py
@@ -47,7 +47,7 @@
         rates: dict[str, list[float]] = {"Metrics": [], "Quiet": []}
         for _ in range(TURNS):
             for kind in (Metrics, Quiet):
-                one.driver.metrics = kind()
+                one.driver.turns.metrics = kind()
                 rates[kind.__name__].append(await load(one.port))
     for name, found in rates.items():
         print(f"{name:8} requests/s median {statistics.median(found):7.0f}  all {[round(r) for r in found]}")
--- a/woadyard/net/attempts.py
+++ b/woadyard/net/attempts.py
@@ -9,7 +9,6 @@
 from woadyard.net.requests import Requests
 from woadyard.net.turns import Turns, now_us
 from woadyard.net.upstream import Upstream
-from woadyard.ops.metrics import Quiet
 
 
 class Attempts:
@@ -20,10 +19,9 @@
         places: Places,
         force: InForce,
         upstream: Upstream,
-        metrics: Quiet,
     ) -> None:
         self.turns, self.requests, self.places = turns, requests, places
-        self.force, self.upstream, self.metrics = force, upstream, metrics
+        self.force, self.upstream = force, upstream
         requests.stop = self.stop
         upstream.ended, upstream.may_start, upstream.relay = self.ended, self.may_start, self.relay
 
@@ -39,13 +37,13 @@
         left = action.timeout_us or call.expires - now
         attempt = Attempt(call, len(call.attempts), action.endpoint, now, min(call.expires, now + left))
         call.attempts.append(attempt)
-        self.metrics.sent(attempt.copy)
+        self.turns.metrics.sent(attempt.copy)
         if (observer := self.turns.observer) is not None:
             attempt.extra = observer.sent(now, action)
         if self.force.locality is not None:
             place = self.places.by_number.get(action.endpoint)
             if place is not None:
-                self.metrics.zone(place.zone)
+                self.turns.metrics.zone(place.zone)
         if attempt.copy >= self.force.settings.max_attempts or not self.may_start(attempt, now):
             self.ended(attempt, MOOT, None, b"")
             return
@@ -89,7 +87,7 @@
             attempt.timer.cancel()
             attempt.timer = None
         call = attempt.call
-        self.metrics.ended(outcome, now_us() - attempt.sent)
+        self.turns.metrics.ended(outcome, now_us() - attempt.sent)
         if outcome == OK and answer is not None and call.open:
             self.requests.answer(call, answer)
         if call.relayed is attempt and call.open:
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -73,9 +73,9 @@
         self.bans = Bans(state, self._banned)
         self.listing = Places(upstream, self.bans, self.force)
         self.trust = Trust(shared, self.metrics)
-        self.turns = Turns(loop, self.balancer, self._do, self._failed)
-        self.requests = Requests(self.turns, self.metrics, shared)
-        self.attempts = Attempts(self.turns, self.requests, self.listing, self.force, upstream, self.metrics)
+        self.turns = Turns(loop, self.balancer, self._do, self._failed, self.metrics)
+        self.requests = Requests(self.turns, shared)
+        self.attempts = Attempts(self.turns, self.requests, self.listing, self.force, upstream)
         self.tell = self.turns.tell
         self.affinity_header = b""  # requests alike in it go to one endpoint, lower case
         self.discovery: Discovery | None = None
--- a/woadyard/net/requests.py
+++ b/woadyard/net/requests.py
@@ -8,14 +8,13 @@
 from woadyard.net.message import Answer, Attempt, Call
 from woadyard.net.sharing import Shared
 from woadyard.net.turns import Turns, now_us
-from woadyard.ops.metrics import Quiet
 
 
 class Requests:
     """Those taken and not yet forgotten, by number."""
 
-    def __init__(self, turns: Turns, metrics: Quiet, shared: Shared | None) -> None:
-        self.turns, self.metrics, self.shared = turns, metrics, shared
+    def __init__(self, turns: Turns, shared: Shared | None) -> None:
+        self.turns, self.shared = turns, shared
         self.calls: dict[int, Call] = {}
         self.next_id = 0
         self.stop: Callable[[Attempt, int], None] = lambda attempt, outcome: None  # with this outcome
@@ -23,7 +22,7 @@
     def take(self, call: Call) -> None:
         self.next_id += 1
         call.id, call.taken = self.next_id, now_us()
-        self.metrics.taken()
+        self.turns.metrics.taken()
         self.calls[call.id] = call
         loading = call.upload is not None and not call.upload.whole
         if not loading:
@@ -75,7 +74,7 @@
         """The module's word; `after_us` above 0 is told to the caller."""
         if (call := self.open_call(request)) is None:
             return
-        self.metrics.refused()
+        self.turns.metrics.refused()
         if (observer := self.turns.observer) is not None:
             observer.refused(now_us(), request)
         after = b"Retry-After: %.3f\r\n" % (after_us / 1e6) if after_us > 0 else b""
@@ -93,7 +92,7 @@
     def told(self, call: Call, status: int) -> None:
         """Its final answer is known."""
         now = now_us()
-        self.metrics.answered(status, now - call.taken)
+        self.turns.metrics.answered(status, now - call.taken)
         if (observer := self.turns.observer) is not None:
             observer.answered(now, call.id, status)
 
--- a/woadyard/net/turns.py
+++ b/woadyard/net/turns.py
@@ -18,6 +18,7 @@
 from woadyard.interface import Action
 from woadyard.net.message import Call
 from woadyard.net.observe import Observer
+from woadyard.ops.metrics import Quiet
 from woadyard.policy import Balancer
 
 LOG = logging.getLogger(__name__)
@@ -38,8 +39,9 @@
         balancer: Balancer,
         act: Callable[[Action], None],
         failed: Callable[[Call], None],
+        metrics: Quiet,
     ) -> None:
-        self.loop, self.balancer = loop, balancer
+        self.loop, self.balancer, self.metrics = loop, balancer, metrics
         self.act, self.failed = act, failed
         self.observer: Observer | None = None
         self.todo: deque[tuple[Event, tuple[Any, ...], Call | None]] = deque()
