Read lists that are indented over several lines

An object now ends with the line on which its last bracket closes; a line that can't be part of one is still told at once. Lists are decoded into a struct (msgspec), whose errors name the field. An answer that ends without a list fails at once instead of with its connection.

The tests fail without the change.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 from collections.abc import Callable, Coroutine
 from random import Random
@@ -12,7 +13,9 @@
 import pytest
 
 from tests.sockets import Endpoint, Registry, push, read_message, request, run, sidecar
-from woadyard.net.discovery import Discovery, Stream
+from woadyard.errors import PeerError
+from woadyard.net.discovery import LISTS, Discovery, Stream
+from woadyard.net.lines import Objects
 from woadyard.net.state import endpoint_number
 
 
@@ -62,6 +65,38 @@
     assert len(failed) == 1 and 8.0 < failed[0] <= 9.0
 
 
+INDENTED = json.dumps(
+    {"generation": 44, "reset": True, "instances": [{"instanceId": 's-"}]\\', "hostPort": "a:1"}]}, indent=2
+).encode()
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize("watch", [True, False])
+def test_an_indented_list_is_read_on_a_watch_and_in_an_answer(watch: bool) -> None:
+    clock, lists = Clock(), list[tuple[Any, ...]]()
+    loop = cast(asyncio.AbstractEventLoop, clock)
+    discovery = Discovery(loop, "127.0.0.1:1", "/list", True, lambda *told: lists.append(told), Random(1))
+    stream = Stream(discovery, "/list", watch)
+    stream.connection_made(Mock())
+    lines = INDENTED + b"\n\n" + INDENTED.replace(b"44", b"45") + b"\n" if watch else INDENTED
+    for at in range(0, len(lines), 7):
+        part = lines[at : at + 7]
+        stream.data_received((HEAD if not at else b"") + b"%x\r\n%b\r\n" % (len(part), part))
+    stream.data_received(b"0\r\n\r\n")
+    assert [told[:2] for told in lists] == ([(44, True), (45, True)] if watch else [(44, True)])
+    assert lists[0][2] == json.loads(INDENTED)["instances"] and stream.done
+
+
+@pytest.mark.parametrize(
+    "lines", [b"{not json\n", b'{\n"generation": 4,\n\n', b'{"generation": 4,\n}\n', b"]\n", b'{"a\n"}\n']
+)
+def test_what_is_no_list_is_told_at_once(lines: bytes) -> None:
+    with pytest.raises(PeerError):
+        objects = Objects(LISTS)
+        objects.feed(lines)
+        list(objects.whole())
+
+
 def test_copies_that_lost_their_watches_together_ask_again_apart() -> None:
     clock = Clock()
     loop = cast(asyncio.AbstractEventLoop, clock)
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -8,17 +8,18 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import random
 from collections.abc import Callable
-from typing import cast
+from typing import Any, cast
 
 import httptools
+import msgspec
 
 from woadyard.errors import PeerError
 from woadyard.membership import Listen
 from woadyard.net.backoff import Backoff
+from woadyard.net.lines import Objects
 
 # While nothing changes an empty line comes every 2 s: soon after a missed one the
 # watch is taken for dead, as a network that is cut off says nothing. What changes
@@ -28,19 +29,32 @@
 # first spreads those that lost their watches together.
 RETRY_S, RETRY_MOST_S = 0.4, 1.6
 CONNECT_S = 2.0
-LINE_MAX = 16 * 1024 * 1024
 LOG = logging.getLogger(__name__)
 LOST = "discovery lost, the last list kept"
 
 
+class Told(msgspec.Struct):
+    """One list; what else it says is passed over."""
+
+    generation: int
+    reset: bool
+    instances: list[dict[str, Any]]
+    following: bool = True
+
+
+LISTS: msgspec.json.Decoder[Told] = msgspec.json.Decoder(Told)
+
+
 class Stream(asyncio.Protocol):
     """One answer of discovery: a watch, or one whole list."""
 
     def __init__(self, owner: Discovery, target: str, watch: bool) -> None:
         self.owner, self.target, self.watch = owner, target, watch
         self.parser = httptools.HttpResponseParser(self)
-        self.buffer = bytearray()
+        self.lists = Objects(LISTS)
         self.transport: asyncio.Transport | None = None
+        self.status = 0  # of the answer, once its head has come
+        self.ended = False  # the answer has
         self.done = False  # whole, or given up: its end says nothing
         self.heard = owner.loop.time()
 
@@ -58,31 +72,39 @@
         try:
             self.parser.feed_data(data)
             self._read()
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade, PeerError) as error:
-            LOG.warning("bad line from discovery", extra={"error": str(error), "at": self.owner.address})
-            self.fail()
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._bad(PeerError(f"no HTTP answer: {error}"))
+        except PeerError as error:
+            self._bad(error)
+
+    def _bad(self, error: PeerError) -> None:
+        LOG.warning("bad line from discovery", extra={**error.fields(), "at": self.owner.address})
+        self.fail()
+
+    def on_headers_complete(self) -> None:
+        if (status := self.parser.get_status_code()) >= 200:
+            self.status = status
 
     def on_body(self, data: bytes) -> None:
-        self.buffer += data
+        if self.status == 200:
+            self.lists.feed(data)
 
     def on_message_complete(self) -> None:
-        if not self.watch and not self.done and self.parser.get_status_code() == 200:
-            self.buffer += b"\n"
+        self.ended = self.status >= 200
+        if self.ended and not self.watch:
+            self.lists.feed(b"\n")
 
     def _read(self) -> None:
-        if self.buffer and self.parser.get_status_code() != 200:
-            self.fail()
-            return
-        while not self.done and (end := self.buffer.find(b"\n")) >= 0:
-            line = bytes(self.buffer[:end])
-            del self.buffer[: end + 1]
-            if line.strip():
-                if not self.owner.line(line):
+        if self.status == 200:
+            for told in self.lists.whole():
+                if not self.owner.take(told):
                     self.fail()
                 elif not self.watch:
                     self.stop()
-        if len(self.buffer) > LINE_MAX:
-            raise PeerError("a line without an end")
+                if self.done:
+                    return
+        if self.ended or self.status not in (0, 200):
+            self.fail()
 
     def stop(self) -> None:
         self.done = True
@@ -182,24 +204,18 @@
         else:
             stream.fail()
 
-    def line(self, raw: bytes) -> bool:
-        """One list; PeerError on anything else, before any of it is used. False
+    def take(self, told: Told) -> bool:
+        """One list; PeerError where an entry is none, before any of it is used. False
         where the replica may be behind: another one is to be asked."""
-        try:
-            told = json.loads(raw)
-            version, whole, entries = int(told["generation"]), bool(told["reset"]), told["instances"]
-        except (KeyError, TypeError, ValueError, OverflowError, RecursionError) as error:
-            raise PeerError(f"no list: {error!r}") from None
-        if not isinstance(entries, list):
-            raise PeerError("instances is no list")
+        version, whole = told.generation, told.reset
         # Guards against a replica that lags: once an address has told a list,
         # nothing older of it is taken. A first list may be older, as a new
         # service counts anew.
         if version >= self.generation or (whole and self.trusting):
-            self.listen(version, whole, entries)
+            self.listen(version, whole, told.instances)
             self.generation = version
         self.moving, self.trusting = False, False
-        if told.get("following") is False:
+        if not told.following:
             return False
         self.backoff.reset()
         if self.out:
