Give up a single call for the list that is never answered

Silence was watched on watches alone: a call for the whole list (`Fetch`) that connected and never got an answer was waited for without end, and the module, told of no failure, never asked again.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -65,6 +65,16 @@
     assert len(failed) == 1 and 8.0 < failed[0] <= 9.0
 
 
+def test_a_call_that_is_never_answered_is_given_up_in_time() -> None:
+    clock, failed = Clock(), list[float]()
+    loop = cast(asyncio.AbstractEventLoop, clock)
+    discovery = Discovery(loop, "127.0.0.1:1", "/list", False, lambda *_: None, Random(1))
+    discovery.on_failed = lambda: failed.append(clock.now)
+    discovery.fetch()
+    clock.go_to(20.0)
+    assert len(failed) == 1 and failed[0] <= 3.0
+
+
 INDENTED = json.dumps(
     {"generation": 44, "reset": True, "instances": [{"instanceId": 's-"}]\\', "hostPort": "a:1"}]}, indent=2
 ).encode()
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -174,7 +174,6 @@
         if on and not self.closed:
             target = f"{self.path}?watch=1&from={self.generation}"
             self.stream = self._ask(target, watch=True)
-            self.loop.call_later(self.silent_s, self._check, self.stream)
 
     def fetch(self) -> None:
         self._ask(self.path, watch=False)
@@ -184,6 +183,7 @@
         task = self.loop.create_task(self._connect(stream))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        self.loop.call_later(self.silent_s, self._check, stream)
         return stream
 
     async def _connect(self, stream: Stream) -> None:
@@ -195,7 +195,7 @@
             stream.fail()
 
     def _check(self, stream: Stream) -> None:
-        """Guards against a watch that died without a word."""
+        """Guards against a watch, or a call, that died without a word."""
         if stream.done:
             return
         left = stream.heard + self.silent_s - self.loop.time()
