Answer requests sent ahead after SIGTERM before their connection is closed

After SIGTERM clients send on every connection that stays open. From the moment when connections at rest are closed, the next answer ended its connection, and requests read behind it, whose last byte had come, were dropped unanswered. Such an answer now ends the connection only where nothing waits behind it. Connections at rest are closed one turn of the loop after that moment, so that what has come by then is read first.

The test fails without the change.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -966,6 +966,30 @@
     run(main())
 
 
+def test_all_that_comes_on_an_open_connection_after_sigterm_is_answered() -> None:
+    """Clients send on until they see the connection close, one request behind another too."""
+
+    async def main() -> None:
+        endpoint = Endpoint()
+        async with sidecar(endpoint) as one:
+            reader, writer = await one.connect()
+            writer.write(request(rid="before"))
+            await read_message(reader)
+            one.server.stop(lambda: None)
+            for n in range(3):
+                writer.write(request(rid=f"r{n}"))
+                assert (await read_message(reader)).body == b"ok"
+            one.server.closing = True  # as when the connections at rest have been closed
+            writer.write(request(rid="last") + request(rid="ahead") + request(rid="further"))
+            for n in range(3):
+                back = await read_message(reader)
+                assert back.body == b"ok" and ("connection" in back.headers) == (n == 2)
+            assert await reader.read() == b""
+            writer.close()
+
+    run(main())
+
+
 @pytest.mark.parametrize("discovery", ["push", "ask"])
 def test_sighup_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path: Path, discovery: str) -> None:
     async def main() -> None:
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -306,7 +306,8 @@
             self._served()
 
     def _kept(self) -> bool:
-        return self.keep and not self.server.closing
+        """Whether there is more to come: requests sent ahead have been taken, and are served."""
+        return self.keep and (bool(self.waiting) or not self.server.closing)
 
     def _write(self, answer: Answer) -> None:
         if self.transport is None or self.transport.is_closing():
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -22,6 +22,7 @@
 # and callers' connections are kept until this much time is left for it.
 DEADLINE_MOST_S, KILL_S = 3.0, 0.7
 ANSWERED_S, ANSWER_S = 0.3, 1.0
+READ_S = 0.002  # one turn of the loop
 BACKLOG = 1024
 # Ids of requests are remembered for this long, longer than any of them runs.
 IDS_S, ID_MAX = 30.0, 128
@@ -174,7 +175,11 @@
         loop.call_later(max(ACCEPT_S + LAST_S, answered_s - ANSWER_S), self._stop_keeping)
 
     def _stop_keeping(self) -> None:
+        """What has come by now is read before those at rest are closed under it."""
         self.closing = True
+        self.driver.loop.call_later(READ_S, self._close_resting)
+
+    def _close_resting(self) -> None:
         for caller in [one for one in self.callers if one.idle()]:
             self.close(caller)
 
