Take up pushed lists within a drain's grace of an outage, and before a new process serves

Where lists are pushed, what discovery has counts as told at once, watch or no watch, after an outage and from the first moment of a new process. A watch that was lost was begun anew after up to 1.6 s, and a new process listened before its first list: for that long it could send to endpoints drained meanwhile, past their grace of 250 ms. The wait is 0.2 s at most now where lists are pushed (where they are asked for, the module times it as before), and a process that starts with a list waits up to 0.5 s for the pushed one before it listens.

--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 from collections.abc import Callable
@@ -25,9 +26,14 @@
 # watch is taken for dead, as a network that is cut off says nothing. What changes
 # meanwhile counts as told after 6 s, and the next call may be lost as well.
 SILENT_S = 2.5
-# The longest wait keeps a fleet at the new list within 2 s of an outage's end; the
-# first spreads those that lost their watches together.
+# Waits before a watch is begun anew: the first spreads those that lost theirs together.
+# A new address binds 4 s after it was named.
 RETRY_S, RETRY_MOST_S = 0.4, 1.6
+# Where lists are pushed, what discovery has counts as told at once, watch or no watch: after
+# an outage the list has to be here within the grace of a drain, 250 ms.
+PUSHED_RETRY_S, PUSHED_RETRY_MOST_S = 0.1, 0.2
+# For as long a new process waits for it before it serves by the list that it started with.
+FIRST_LIST_S = 0.5
 CONNECT_S = 2.0
 LOG = logging.getLogger(__name__)
 LOST = "discovery lost, the last list kept"
@@ -132,7 +138,9 @@
     ) -> None:
         self.loop, self.path, self.pushed = loop, path, pushed
         self.listen, self.rng = listen, rng
-        self.backoff = Backoff(rng, RETRY_S, RETRY_MOST_S)
+        waits = (PUSHED_RETRY_S, PUSHED_RETRY_MOST_S) if pushed else (RETRY_S, RETRY_MOST_S)
+        self.backoff = Backoff(rng, *waits)
+        self.told = asyncio.Event()  # a list, since the start
         self.on_failed: Callable[[], None] = lambda: None
         self.generation = 0
         self.stream: Stream | None = None  # the watch
@@ -167,6 +175,12 @@
         if self.stream is not None:
             self.watch(True)
 
+    async def first(self) -> None:
+        """Where lists are pushed: until the first has come, or `FIRST_LIST_S` are over."""
+        if self.pushed:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.told.wait(), FIRST_LIST_S)
+
     def watch(self, on: bool) -> None:
         if self.stream is not None:
             self.stream.stop()
@@ -215,6 +229,7 @@
             self.listen(version, whole, told.instances)
             self.generation = version
         self.moving, self.trusting = False, False
+        self.told.set()
         if not told.following:
             return False
         self.backoff.reset()
