Give the sidecar's errors types and remedies, and read settings by structs

ValueError and bare texts went between modules as an interface, and an operator was told what was wrong, not what to do.

A peer's list that names a bad address is a PeerError to the discovery that reads it.

--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -17,13 +17,12 @@
 import uvloop
 
 from woadyard import cli
-from woadyard.errors import PeerError
+from woadyard.errors import ConfigError, PeerError
 from woadyard.membership.shrink import ShrinkGuard
 from woadyard.net.budget import Budget, Hooks
 from woadyard.net.config import (
     SOCKETS_DEFAULT,
     Config,
-    ConfigError,
     locality,
     log_level,
     read_again,
@@ -65,7 +64,7 @@
         try:
             raw, settings = read_again(self.path, self.force)
         except ConfigError as error:
-            LOG.warning("not reloaded", extra={"error": str(error)})
+            LOG.warning("not reloaded", extra=error.fields())
             return
         self.force = raw
         self.driver.retune(raw["settings"], settings, locality(raw))
@@ -86,20 +85,24 @@
 
     def change(act: Callable[[str], bool], body: str) -> str:
         if not body:
-            raise CallError(HTTPStatus.BAD_REQUEST, "the body names no endpoint")
+            raise CallError(HTTPStatus.BAD_REQUEST, "the body names no endpoint", "send its instanceId")
         if not act(body):
-            raise CallError(HTTPStatus.NOT_FOUND, "no list ever named this endpoint")
+            raise CallError(
+                HTTPStatus.NOT_FOUND,
+                "no list ever named this endpoint",
+                "look its name up in the list",
+            )
         return f"done, out are: {' '.join(bans.banned) or 'none'}"
 
     def ready(body: str) -> str:
         if not server.accepting or server.shut_out or not may_serve():
-            raise CallError(HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
+            raise CallError(HTTPStatus.SERVICE_UNAVAILABLE, "not ready", "wait; the log says why")
         return "ready"
 
     def accept_list(body: str) -> str:
         view = guard.view
         if view is None or not view.held:
-            raise CallError(HTTPStatus.CONFLICT, "no list is held back")
+            raise CallError(HTTPStatus.CONFLICT, "no list is held back", "nothing is to be done")
         server.driver.loop.call_soon_threadsafe(guard.accept)
         return f"done, let go: {' '.join(sorted(view.held))}"
 
@@ -150,7 +153,7 @@
     rng = random.Random()  # not the seed's: processes of one file must differ
     gossip = Gossip(config.shared, share.name, rng, heard, driver.metrics, config.state)
     share.publish = gossip.publish
-    driver.affinity_header = config.shared.affinity_header.encode()
+    driver.affinity_header = config.shared.affinity_header.lower().encode()
     port = gossip.open()
     if config.shared.limit:
         hooks = Hooks(driver.wanted, driver.used, driver.longest_us, driver.limit)
@@ -280,7 +283,7 @@
         LOG.setLevel(config.log_level.upper())
         uvloop.run(run(config, limit))
     except ConfigError as error:
-        LOG.error("can't start", extra={"error": str(error)})
+        LOG.error("can't start", extra=error.fields())
         return cli.FAULTY
     return 0
 
--- a/woadyard/cli.py
+++ b/woadyard/cli.py
@@ -10,7 +10,8 @@
 import sys
 from collections.abc import Sequence
 
-from woadyard.net.config import ConfigError, read_again, read_config, read_file
+from woadyard.errors import ConfigError
+from woadyard.net.config import read_again, read_config, read_file
 from woadyard.registry import add_arguments
 
 # What a command returns to the shell where the configuration has faults.
@@ -52,7 +53,7 @@
     against = in_force or path
     try:
         force = read_file(against)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, ConfigError) as error:
         if in_force is None:  # the start's check says it, as a start would
             force = {}
         else:
--- a/woadyard/net/config.py
+++ b/woadyard/net/config.py
@@ -6,10 +6,14 @@
 from dataclasses import dataclass
 from math import inf
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 from urllib.parse import quote
 
+import msgspec
+
+from woadyard.errors import ConfigError
 from woadyard.interface import Locality, Settings
+from woadyard.sections import read_section
 from woadyard.shared.settings import SharedSettings, read_shared
 from woadyard.wire import WireError, read_settings
 
@@ -25,11 +29,27 @@
 START_ONLY = frozenset(("known",))
 
 
-class ConfigError(Exception):
-    """The configuration can't be used; the text says why, on one line."""
+FAULTS = (OSError, ValueError, KeyError, TypeError, AttributeError, OverflowError, WireError)
+Least = Annotated[float, msgspec.Meta(ge=0.0)]
 
 
-FAULTS = (OSError, ValueError, KeyError, TypeError, AttributeError, OverflowError, WireError)
+class LocalitySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
+    """The file's `locality`; `regions` names each zone's, by the names in `settings.zones`."""
+
+    regions: dict[str, str] = {}
+    leave: Least | None = None
+    panic: Least | None = None
+    window_ms: Least | None = None
+    away_ms: Least | None = None
+    ramp_ms: Least | None = None
+
+    def named(self, regions: tuple[int, ...]) -> Locality:
+        """With the regions' numbers, and the module's defaults for what is not said."""
+        times = {"window_us": self.window_ms, "away_us": self.away_ms, "ramp_us": self.ramp_ms}
+        values: dict[str, Any] = {key: int(ms * 1000) for key, ms in times.items() if ms is not None}
+        shares = {"leave": self.leave, "panic": self.panic}
+        values.update({key: share for key, share in shares.items() if share is not None})
+        return Locality(regions, **values)
 
 
 @dataclass(frozen=True)
@@ -85,13 +105,9 @@
         discovery = str(environ.get("LB_DISCOVERY") or raw["discovery"])
         addresses(discovery)
         accept = environ.get("LB_ACCEPT_FD")
-        if raw.get("shared") and not (environ.get("LB_NAME") or raw.get("name")):
-            raise ValueError("shared needs a name of this sidecar's own")
         found = shared(raw)
-        longest_us = max(float(entry["deadline-us"]) for entry in raw["settings"]["classes"])
-        if found is not None and found.limit and found.lease_s * 1e6 <= longest_us:
-            # A share's last requests end before it is another's.
-            raise ValueError("shared.limit-lease-ms is no longer than the longest deadline")
+        if found is not None:
+            _check_shared(found, str(environ.get("LB_NAME") or raw.get("name") or ""), raw)
         console = environ.get("LB_CONSOLE") or raw.get("console")
         return Config(
             path=path,
@@ -111,6 +127,8 @@
             record=record(raw, bool(console)),
             shrink_most=shrink_most(raw),
         )
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}", error.remedy) from None
     except FAULTS as error:
         raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
 
@@ -119,41 +137,25 @@
     """The lowest level of the lines logged; `info` where the file says none."""
     level = raw.get("log-level", "info")
     if level not in LOG_LEVELS:
-        raise ValueError(f"log-level is none of {', '.join(LOG_LEVELS)}: {level!r}")
+        raise ConfigError(f"log-level is none of {', '.join(LOG_LEVELS)}: {level!r}")
     return str(level)
 
 
-LOCALITY_KEYS = {"leave": "leave", "panic": "panic", "window-ms": "window_us", "away-ms": "away_us",
-                 "ramp-ms": "ramp_us"}  # fmt: skip
-
-
 def locality(raw: dict[str, Any]) -> Locality | None:
-    """How zones are chosen, from the file's `locality`; None where it says nothing.
-    `regions` names each zone's, by the names in `settings.zones`."""
-    told = raw.get("locality")
+    """How zones are chosen, from the file's `locality`; None where it says nothing."""
+    told = read_section(raw.get("locality"), LocalitySection, "locality")
     if told is None:
         return None
-    zones, regions = raw["settings"].get("zones", []), told.get("regions", {})
-    if unknown := sorted(told.keys() - LOCALITY_KEYS.keys() - {"regions"}):
-        raise ValueError(f"locality.{unknown[0]} is not known")
-    if unknown := sorted(regions.keys() - set(zones)):
-        raise ValueError(f"locality.regions has no zone {unknown[0]!r}")
-    names = sorted({str(name) for name in regions.values()})
+    zones = raw["settings"].get("zones", [])
+    if unknown := sorted(told.regions.keys() - set(zones)):
+        raise ConfigError(f"locality.regions has no zone {unknown[0]!r}")
+    names = sorted(set(told.regions.values()))
     # A zone without a region is a region of its own.
     numbers = tuple(
-        names.index(str(regions[zone])) if zone in regions else len(names) + n for n, zone in enumerate(zones)
+        names.index(told.regions[zone]) if zone in told.regions else len(names) + n
+        for n, zone in enumerate(zones)
     )
-    values: dict[str, Any] = {}
-    for key, name in LOCALITY_KEYS.items():
-        if key in told:
-            _number(told, key)
-            values[name] = int(told[key] * 1000) if key.endswith("-ms") else float(told[key])
-    return Locality(numbers, **values)
-
-
-def _number(of: dict[str, Any], key: str) -> None:
-    if isinstance(of[key], bool) or not isinstance(of[key], (int, float)) or not 0 <= of[key] < inf:
-        raise ValueError(f"locality.{key} is no number: {of[key]!r}")
+    return told.named(numbers)
 
 
 def shared(raw: dict[str, Any]) -> SharedSettings | None:
@@ -166,6 +168,15 @@
     return found
 
 
+def _check_shared(found: SharedSettings, name: str, raw: dict[str, Any]) -> None:
+    if not name:
+        raise ConfigError("shared needs a name of this sidecar's own", "set `name` in the file, or LB_NAME")
+    longest_us = max(float(entry["deadline-us"]) for entry in raw["settings"]["classes"])
+    if found.limit and found.lease_s * 1e6 <= longest_us:
+        # A share's last requests end before it is another's.
+        raise ConfigError("shared.limit-lease-ms is no longer than the longest deadline")
+
+
 def record(raw: dict[str, Any], door: bool) -> RecordSettings | None:
     """What is recorded for what-if replays; None where the file says nothing."""
     if raw.get("record") is None:
@@ -182,7 +193,7 @@
     before they are held back; 1 (nothing is held) where the file says none."""
     share = raw.get("list-shrink-most", 1.0)
     if isinstance(share, bool) or not isinstance(share, (int, float)) or not 0 < share <= 1:
-        raise ValueError(f"list-shrink-most is no share above 0 and up to 1: {share!r}")
+        raise ConfigError(f"list-shrink-most is no share above 0 and up to 1: {share!r}")
     return float(share)
 
 
@@ -190,7 +201,7 @@
     with open(path, "rb") as file:
         raw = json.load(file)
     if not isinstance(raw, dict):
-        raise ValueError("the file is no object")
+        raise ConfigError("the file is no object")
     return raw
 
 
@@ -216,25 +227,27 @@
         for entry in settings["classes"]:
             _check_class(entry)
         if len({entry["name"] for entry in settings["classes"]}) < len(settings["classes"]):
-            raise ValueError("a class is there twice")
+            raise ConfigError("a class is there twice")
         return raw, read_settings(json.dumps(settings).encode())
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}", error.remedy) from None
     except FAULTS as error:
         raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
 
 
 def _has_all(new: dict[str, Any], old: dict[str, Any], where: str, but: frozenset[str] = frozenset()) -> None:
     if not isinstance(new, dict):
-        raise ValueError(f"{where or 'the file'} is no object")
+        raise ConfigError(f"{where or 'the file'} is no object")
     if lost := sorted(old.keys() - new.keys() - but):
-        raise ValueError(f"{where}{lost[0]} is missing")
+        raise ConfigError(f"{where}{lost[0]} is missing")
 
 
 def _check_class(entry: dict[str, Any]) -> None:
     for key in CLASS_KEYS + (KEYED_KEYS if entry["repeat"] == "dedup" else ()):
         if key not in entry:
-            raise ValueError(f"a class lacks {key}")
+            raise ConfigError(f"a class lacks {key}")
     if not isinstance(entry["name"], str) or not entry["name"]:
-        raise ValueError("a class has no name")
+        raise ConfigError("a class has no name")
     _above_zero(entry, "aim-us")
     _above_zero(entry, "deadline-us")
 
@@ -242,4 +255,4 @@
 def _above_zero(of: dict[str, Any], key: str) -> None:
     value = of[key]
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < inf:
-        raise ValueError(f"{key} is no number above 0: {value!r}")
+        raise ConfigError(f"{key} is no number above 0: {value!r}")
--- a/woadyard/net/console.py
+++ b/woadyard/net/console.py
@@ -18,6 +18,8 @@
 import httptools
 import uvloop
 
+from woadyard.errors import WoadyardError
+
 # Descriptors set aside: the listener, the loop's own, and the callers'.
 VISITORS_MOST = 24
 DESCRIPTORS = VISITORS_MOST + 8
@@ -27,11 +29,13 @@
 BACKLOG = 128
 
 
-class CallError(Exception):
+class CallError(WoadyardError):
     """A call that gets no for an answer; the text says why."""
 
-    def __init__(self, status: HTTPStatus, text: str) -> None:
-        super().__init__(text)
+    remedy = "see docs/on-call.md for the door's calls"
+
+    def __init__(self, status: HTTPStatus, text: str, remedy: str | None = None) -> None:
+        super().__init__(text, remedy)
         self.status = status
 
 
@@ -121,7 +125,7 @@
             raise CallError(HTTPStatus.BAD_REQUEST, "the body is no text") from None
 
     def _refuse(self, error: CallError) -> None:
-        self._answer(error.status, str(error))
+        self._answer(error.status, f"{error}; {error.remedy}")
 
     def _answer(self, status: HTTPStatus, told: str | bytes) -> None:
         """The answer, then the end; what still comes is dropped for a moment,
--- a/woadyard/net/fetch.py
+++ b/woadyard/net/fetch.py
@@ -11,10 +11,12 @@
 
 import httptools
 
+from woadyard.errors import PeerError
+
 ANSWER_MAX = 16 * 1024 * 1024
 
 
-class FetchError(OSError):
+class FetchError(PeerError):
     """The call failed: nothing listens, it broke off, came late, or is no HTTP."""
 
 
--- a/woadyard/net/gossip.py
+++ b/woadyard/net/gossip.py
@@ -25,7 +25,8 @@
 from typing import Any
 from urllib.parse import quote
 
-from woadyard.net.config import ConfigError, address
+from woadyard.errors import ConfigError, PeerError
+from woadyard.net.config import address
 from woadyard.net.console import CallError, Console, Route
 from woadyard.net.discovery import Discovery
 from woadyard.net.fetch import AnswerTooLargeError, FetchError, fetch
@@ -144,7 +145,7 @@
                 else:
                     peers.pop(one["instanceId"], None)
         except (KeyError, TypeError, ConfigError) as error:
-            raise ValueError(f"no peer: {error!r}") from None
+            raise PeerError(f"no peer: {error!r}") from None
         peers.pop(self.store.me, None)
         self.peers = peers
         self.metrics.peers(len(peers))
@@ -192,10 +193,10 @@
             self.store.merge(now, told.get("entries"), now - began, self._names())
         except (TellingError, AnswerTooLargeError) as error:
             self.metrics.exchanged("refused", len(body), 0)
-            LOG.warning("a peer's telling refused", extra={"peer": origin, "error": str(error)})
+            LOG.warning("a peer's telling refused", extra={"peer": origin, **error.fields()})
         except FetchError as error:
             self.metrics.exchanged("failed", len(body), 0)
-            LOG.debug("peer not reached", extra={"peer": origin, "error": str(error)})
+            LOG.debug("peer not reached", extra={"peer": origin, **error.fields()})
         else:
             self.metrics.exchanged("done", len(body), len(back))
             self._say(now)
@@ -206,8 +207,8 @@
             told = _read(body.encode())
             vector = read_vector(told.get("vector"))
         except TellingError as error:
-            LOG.warning("a peer's call refused", extra={"error": str(error)})
-            raise CallError(HTTPStatus.BAD_REQUEST, str(error)) from None
+            LOG.warning("a peer's call refused", extra=error.fields())
+            raise CallError(HTTPStatus.BAD_REQUEST, str(error), error.remedy) from None
         if self.store.lacks(vector) and isinstance(peer := told.get("from"), str):
             self._ask(peer)
         rows = self.store.telling(now_us(), vector, TELL_MOST)
--- a/woadyard/net/link.py
+++ b/woadyard/net/link.py
@@ -18,6 +18,7 @@
     LAST_CHUNK,
     Answer,
     Attempt,
+    FramingError,
     Headers,
     Upload,
     chunk,
@@ -225,7 +226,7 @@
 
     def on_message_begin(self) -> None:
         if self.whole:
-            raise ValueError("a second answer to one request")
+            raise FramingError("a second answer to one request")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.status:
--- a/woadyard/net/listwriter.py
+++ b/woadyard/net/listwriter.py
@@ -9,8 +9,9 @@
 from http import HTTPStatus
 from typing import Any
 
+from woadyard.errors import ConfigError
 from woadyard.net.backoff import Backoff
-from woadyard.net.config import ConfigError, address
+from woadyard.net.config import address
 from woadyard.net.fetch import FetchError, fetch
 from woadyard.registry.refusal import read_refusal
 
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from woadyard.errors import PeerError
+
 HEAD_MAX = 64 * 1024
 # Bodies up to this are held whole before they are passed on, so that an attempt
 # can be repeated; larger ones are passed on as they come.
@@ -23,7 +25,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 
-class FramingError(ValueError):
+class FramingError(PeerError):
     """Headers that leave open where the body ends."""
 
 
--- a/woadyard/registry/command.py
+++ b/woadyard/registry/command.py
@@ -10,8 +10,8 @@
 
 import uvloop
 
-from woadyard.errors import RecordError, StateError
-from woadyard.net.config import ConfigError, address, addresses
+from woadyard.errors import ConfigError, RecordError, StateError
+from woadyard.net.config import address, addresses
 from woadyard.ops import logs
 from woadyard.registry import add_arguments
 from woadyard.registry.follow import Follower
--- a/woadyard/registry/follow.py
+++ b/woadyard/registry/follow.py
@@ -19,10 +19,10 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from woadyard.errors import RecordError, StateError
+from woadyard.errors import ConfigError, RecordError, StateError
 from woadyard.lists import ListBook
 from woadyard.net.backoff import Backoff
-from woadyard.net.config import ConfigError, address
+from woadyard.net.config import address
 from woadyard.net.fetch import FetchError, fetch
 from woadyard.registry.books import books
 from woadyard.registry.host import Host
--- a/woadyard/shared/store.py
+++ b/woadyard/shared/store.py
@@ -21,6 +21,8 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from woadyard.errors import PeerError
+
 VERDICT = "verdict"
 KINDS = (VERDICT,)
 NAME_MOST, VALUE_MOST = 128, 256  # characters of a name or key; of a value as JSON
@@ -32,7 +34,7 @@
 SEQ_MOST = 1 << 52
 
 
-class TellingError(ValueError):
+class TellingError(PeerError):
     """What a peer sent is no telling; nothing of it was merged."""
 
 
