--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -222,7 +222,7 @@
             assert not waiting.done()
             push(watch, 42, True)
             await waiting
-            assert not one.driver.balancer.ring
+            assert not one.driver.listing.ready()
 
     run(main())
 
