--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 from collections.abc import Callable, Coroutine
 from random import Random
@@ -12,7 +13,9 @@
 import pytest
 
 from tests.sockets import Endpoint, Registry, push, read_message, request, run, sidecar
-from woadyard.net.discovery import Discovery, Stream
+from woadyard.errors import PeerError
+from woadyard.net.discovery import LISTS, Discovery, Stream
+from woadyard.net.lines import Objects
 from woadyard.net.state import endpoint_number
 
 
@@ -62,6 +65,48 @@
     assert len(failed) == 1 and 8.0 < failed[0] <= 9.0
 
 
+def test_a_call_that_is_never_answered_is_given_up_in_time() -> None:
+    clock, failed = Clock(), list[float]()
+    loop = cast(asyncio.AbstractEventLoop, clock)
+    discovery = Discovery(loop, "127.0.0.1:1", "/list", False, lambda *_: None, Random(1))
+    discovery.on_failed = lambda: failed.append(clock.now)
+    discovery.fetch()
+    clock.go_to(20.0)
+    assert len(failed) == 1 and failed[0] <= 3.0
+
+
+INDENTED = json.dumps(
+    {"generation": 44, "reset": True, "instances": [{"instanceId": 's-"}]\\', "hostPort": "a:1"}]}, indent=2
+).encode()
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize("watch", [True, False])
+def test_an_indented_list_is_read_on_a_watch_and_in_an_answer(watch: bool) -> None:
+    clock, lists = Clock(), list[tuple[Any, ...]]()
+    loop = cast(asyncio.AbstractEventLoop, clock)
+    discovery = Discovery(loop, "127.0.0.1:1", "/list", True, lambda *told: lists.append(told), Random(1))
+    stream = Stream(discovery, "/list", watch)
+    stream.connection_made(Mock())
+    lines = INDENTED + b"\n\n" + INDENTED.replace(b"44", b"45") + b"\n" if watch else INDENTED
+    for at in range(0, len(lines), 7):
+        part = lines[at : at + 7]
+        stream.data_received((HEAD if not at else b"") + b"%x\r\n%b\r\n" % (len(part), part))
+    stream.data_received(b"0\r\n\r\n")
+    assert [told[:2] for told in lists] == ([(44, True), (45, True)] if watch else [(44, True)])
+    assert lists[0][2] == json.loads(INDENTED)["instances"] and stream.done
+
+
+@pytest.mark.parametrize(
+    "lines", [b"{not json\n", b'{\n"generation": 4,\n\n', b'{"generation": 4,\n}\n', b"]\n", b'{"a\n"}\n']
+)
+def test_what_is_no_list_is_told_at_once(lines: bytes) -> None:
+    with pytest.raises(PeerError):
+        objects = Objects(LISTS)
+        objects.feed(lines)
+        list(objects.whole())
+
+
 def test_copies_that_lost_their_watches_together_ask_again_apart() -> None:
     clock = Clock()
     loop = cast(asyncio.AbstractEventLoop, clock)
@@ -160,6 +205,28 @@
     assert "Traceback" not in capsys.readouterr().err
 
 
+def test_the_first_pushed_list_is_waited_for_and_not_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What discovery has counts as told from a process's first moment, watch or no watch."""
+
+    async def main() -> None:
+        registry = Registry()
+        async with sidecar(Endpoint(), registry=registry) as one:
+            discovery = one.driver.discovery
+            assert discovery is not None
+            monkeypatch.setattr("woadyard.net.discovery.FIRST_LIST_S", 0.01)
+            await discovery.first()
+            assert not discovery.told.is_set(), "discovery may be down"
+            monkeypatch.setattr("woadyard.net.discovery.FIRST_LIST_S", 60.0)
+            waiting = asyncio.create_task(discovery.first())
+            _, watch = await registry.asked.get()
+            assert not waiting.done()
+            push(watch, 42, True)
+            await waiting
+            assert not one.driver.listing.ready()
+
+    run(main())
+
+
 def test_discovery_that_is_down_is_asked_again_and_serves_once_it_is_back() -> None:
     async def main() -> None:
         registry = Registry()
@@ -169,7 +236,7 @@
                 held.bind(("127.0.0.1", 0))
                 assert one.driver.discovery is not None
                 one.driver.discovery.move(f"127.0.0.1:{held.getsockname()[1]}")
-                while one.driver.discovery.backoff.limit_s < 1.6:
+                while (backoff := one.driver.discovery.backoff).limit_s < backoff.most_s:
                     await asyncio.sleep(0.01)
                 assert (await one.ask(request())).body == b"ok", "by the list held"
                 held.listen()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,6 +11,7 @@
 
 from tests.lab import Lab, Program
 from tests.sockets import SETTINGS, Endpoint, Message, Writer, answer
+from woadyard.errors import ConfigError
 from woadyard.net.gossip import LIST_PATH
 from woadyard.net.state import endpoint_number
 from woadyard.shared.settings import read_shared
@@ -211,5 +212,5 @@
     ],
 )  # fmt: skip
 def test_bad_settings_are_turned_down_with_a_line(bad: Any) -> None:
-    with pytest.raises(ValueError, match=r"^shared"):
+    with pytest.raises(ConfigError, match=r"^shared"):
         read_shared(bad)
--- a/tests/test_matching.py
+++ b/tests/test_matching.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -15,7 +16,7 @@
 from tests.test_registry import ENTRY
 from woadyard.errors import RecordError
 from woadyard.lists import ListBook
-from woadyard.net.held import TAKE, Held, Named, read_name
+from woadyard.net.held import TAKE, Held, Named, Told
 from woadyard.registry.follow import Follower
 from woadyard.registry.host import next_term
 from woadyard.registry.log import Journal
@@ -48,8 +49,9 @@
         registry.hear(name.lineage, name.term, "a client")
         term = name.term if name.lineage == registry.host.lineage else -1
         told = {**book.changes_since(term, name.generation), "lineage": registry.host.lineage}
-        if told["lineage"] and self.held.judge(read_name(told), told["reset"], 0.0) == TAKE:
-            self.held.take(read_name(told), 0.0)
+        named = msgspec.convert(told, Told).name
+        if told["lineage"] and self.held.judge(named, told["reset"], 0.0) == TAKE:
+            self.held.take(named, 0.0)
             self.held.trusting = False
             if told["reset"]:
                 self.entries.clear()
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -16,7 +16,7 @@
 from tests.test_replicas import caught_up, end, replica, until
 from woadyard.lists.service import PATH
 from woadyard.net.discovery import Discovery
-from woadyard.net.held import KEEP, OTHER_S, REFUSE, TAKE, Held, Named
+from woadyard.net.held import KEEP, OTHER_S, REFUSE, TAKE, Held, Named, Told
 from woadyard.net.listwriter import ListWriter
 
 
@@ -167,5 +167,5 @@
     heard: list[int] = []
     one = Discovery(loop, "127.0.0.1:1", "/l", True, lambda version, *_: heard.append(version), Random(1))
     for version in (41, 40, 42):
-        assert one.line(json.dumps({"generation": version, "reset": True, "instances": []}).encode())
+        assert one.take(Told(version, True, []))
     assert heard == [41, 42] and one.held.target("/l") == "/l?watch=1&from=42" and not one.held.header()
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -8,40 +8,51 @@
 from __future__ import annotations
 
 import asyncio
-import json
+import contextlib
 import logging
 import random
 from collections.abc import Callable
 from typing import Any, cast
 
 import httptools
+import msgspec
 
 from woadyard.errors import PeerError
 from woadyard.membership import Listen
 from woadyard.net.backoff import Backoff
-from woadyard.net.held import REFUSE, TAKE, Held, Named, read_name
+from woadyard.net.held import REFUSE, TAKE, Held, Named, Told
+from woadyard.net.lines import Objects
 
 # While nothing changes an empty line comes every 2 s: soon after a missed one the
 # watch is taken for dead, as a network that is cut off says nothing. What changes
 # meanwhile counts as told after 6 s, and the next call may be lost as well.
 SILENT_S = 2.5
-# The longest wait keeps a fleet at the new list within 2 s of an outage's end; the
-# first spreads those that lost their watches together.
+# Waits before a watch is begun anew: the first spreads those that lost theirs together.
+# A new address binds 4 s after it was named.
 RETRY_S, RETRY_MOST_S = 0.4, 1.6
+# Where lists are pushed, what discovery has counts as told at once, watch or no watch: after
+# an outage the list has to be here within the grace of a drain, 250 ms.
+PUSHED_RETRY_S, PUSHED_RETRY_MOST_S = 0.1, 0.2
+# For as long a new process waits for it before it serves by the list that it started with.
+FIRST_LIST_S = 0.5
 CONNECT_S = 2.0
-LINE_MAX = 16 * 1024 * 1024
 LOG = logging.getLogger(__name__)
 LOST = "discovery lost, the last list kept"
 
 
+LISTS: msgspec.json.Decoder[Told] = msgspec.json.Decoder(Told)
+
+
 class Stream(asyncio.Protocol):
     """One answer of discovery: a watch, or one whole list."""
 
     def __init__(self, owner: Discovery, target: str, watch: bool) -> None:
         self.owner, self.target, self.watch = owner, target, watch
         self.parser = httptools.HttpResponseParser(self)
-        self.buffer = bytearray()
+        self.lists = Objects(LISTS)
         self.transport: asyncio.Transport | None = None
+        self.status = 0  # of the answer, once its head has come
+        self.ended = False  # the answer has
         self.done = False  # whole, or given up: its end says nothing
         self.heard = owner.loop.time()
 
@@ -60,31 +71,39 @@
         try:
             self.parser.feed_data(data)
             self._read()
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade, PeerError) as error:
-            LOG.warning("bad line from discovery", extra={"error": str(error), "at": self.owner.address})
-            self.fail()
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._bad(PeerError(f"no HTTP answer: {error}"))
+        except PeerError as error:
+            self._bad(error)
+
+    def _bad(self, error: PeerError) -> None:
+        LOG.warning("bad line from discovery", extra={**error.fields(), "at": self.owner.address})
+        self.fail()
+
+    def on_headers_complete(self) -> None:
+        if (status := self.parser.get_status_code()) >= 200:
+            self.status = status
 
     def on_body(self, data: bytes) -> None:
-        self.buffer += data
+        if self.status == 200:
+            self.lists.feed(data)
 
     def on_message_complete(self) -> None:
-        if not self.watch and not self.done and self.parser.get_status_code() == 200:
-            self.buffer += b"\n"
+        self.ended = self.status >= 200
+        if self.ended and not self.watch:
+            self.lists.feed(b"\n")
 
     def _read(self) -> None:
-        if self.buffer and self.parser.get_status_code() != 200:
-            self.fail()
-            return
-        while not self.done and (end := self.buffer.find(b"\n")) >= 0:
-            line = bytes(self.buffer[:end])
-            del self.buffer[: end + 1]
-            if line.strip():
-                if not self.owner.line(line):
+        if self.status == 200:
+            for told in self.lists.whole():
+                if not self.owner.take(told):
                     self.fail()
                 elif not self.watch:
                     self.stop()
-        if len(self.buffer) > LINE_MAX:
-            raise PeerError("a line without an end")
+                if self.done:
+                    return
+        if self.ended or self.status not in (0, 200):
+            self.fail()
 
     def stop(self) -> None:
         self.done = True
@@ -112,7 +131,9 @@
     ) -> None:
         self.loop, self.path, self.pushed = loop, path, pushed
         self.listen, self.rng = listen, rng
-        self.backoff = Backoff(rng, RETRY_S, RETRY_MOST_S)
+        waits = (PUSHED_RETRY_S, PUSHED_RETRY_MOST_S) if pushed else (RETRY_S, RETRY_MOST_S)
+        self.backoff = Backoff(rng, *waits)
+        self.told = asyncio.Event()  # a list, since the start
         self.on_failed: Callable[[], None] = lambda: None
         self.on_anew: Callable[[], None] = lambda: None  # generations count anew from the next list
         self.held = Held()
@@ -156,13 +177,18 @@
         if self.stream is not None:
             self.watch(True)
 
+    async def first(self) -> None:
+        """Where lists are pushed: until the first has come, or `FIRST_LIST_S` are over."""
+        if self.pushed:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.told.wait(), FIRST_LIST_S)
+
     def watch(self, on: bool) -> None:
         if self.stream is not None:
             self.stream.stop()
             self.stream = None
         if on and not self.closed:
             self.stream = self._ask(self.held.target(self.path), watch=True)
-            self.loop.call_later(self.silent_s, self._check, self.stream)
 
     def fetch(self) -> None:
         self._ask(self.path, watch=False)
@@ -172,6 +198,7 @@
         task = self.loop.create_task(self._connect(stream))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        self.loop.call_later(self.silent_s, self._check, stream)
         return stream
 
     async def _connect(self, stream: Stream) -> None:
@@ -183,7 +210,7 @@
             stream.fail()
 
     def _check(self, stream: Stream) -> None:
-        """Guards against a watch that died without a word."""
+        """Guards against a watch, or a call, that died without a word."""
         if stream.done:
             return
         left = stream.heard + self.silent_s - self.loop.time()
@@ -192,28 +219,23 @@
         else:
             stream.fail()
 
-    def line(self, raw: bytes) -> bool:
-        """One list; PeerError on anything else, before any of it is used. False
+    def take(self, told: Told) -> bool:
+        """One list; PeerError where an entry is none, before any of it is used. False
         where the replica may be behind: another one is to be asked."""
-        try:
-            told = json.loads(raw)
-            name, whole, entries = read_name(told), bool(told["reset"]), told["instances"]
-        except (KeyError, TypeError, AttributeError, ValueError, OverflowError, RecursionError) as error:
-            raise PeerError(f"no list: {error!r}") from None
-        if not isinstance(entries, list):
-            raise PeerError("instances is no list")
         # Guards against a replica that lags, or follows a writer that was replaced: once an
         # address has told a list, nothing older of it is taken. A first list may be older,
         # as a new service counts anew.
-        verdict = self.held.judge(name, whole, self.loop.time())
+        name = told.name
+        verdict = self.held.judge(name, told.reset, self.loop.time())
         if verdict == REFUSE:
             fields = {"at": self.address, "term": name.term, "held": self.held.name.term}
             LOG.warning("a list of an older term or another log is not taken", extra=fields)
             return False
         if verdict == TAKE:
-            self._take(name, whole, entries)
+            self._take(name, told.reset, told.instances)
         self.moving, self.held.trusting = False, False
-        if told.get("following") is False:
+        self.told.set()
+        if not told.following:
             return False
         self.backoff.reset()
         if self.out:
--- a/woadyard/net/held.py
+++ b/woadyard/net/held.py
@@ -8,16 +8,16 @@
 
 from __future__ import annotations
 
-import re
-from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
+
+import msgspec
 
 # A list of another log is taken once nothing was heard of the one held for so long: the
 # service began anew. Two services side by side would else take turns in every sidecar.
 OTHER_S = 10.0
-LINEAGE = re.compile(r"[0-9a-f]{0,64}")
-TERM_MOST = 1 << 52
+Lineage = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{0,64}\Z")]
+Term = Annotated[int, msgspec.Meta(ge=0, lt=1 << 52)]
 TAKE, KEEP, REFUSE = "take", "keep", "refuse"
 
 
@@ -30,14 +30,19 @@
     generation: int = 0
 
 
-def read_name(told: Mapping[str, Any]) -> Named:
-    """Of a list as told; ValueError where it is none."""
-    generation, lineage, term = told["generation"], told.get("lineage", ""), told.get("term", 0)
-    if type(term) is not int or not 0 <= term < TERM_MOST:
-        raise ValueError(f"no term: {term!r}")
-    if not isinstance(lineage, str) or not LINEAGE.fullmatch(lineage):
-        raise ValueError(f"no lineage: {lineage!r}")
-    return Named(lineage, term, int(generation))
+class Told(msgspec.Struct):
+    """One list as discovery tells it; what else it says is passed over."""
+
+    generation: int
+    reset: bool
+    instances: list[dict[str, Any]]
+    lineage: Lineage = ""
+    term: Term = 0
+    following: bool = True
+
+    @property
+    def name(self) -> Named:
+        return Named(self.lineage, self.term, self.generation)
 
 
 class Held:
--- a/woadyard/registry/command.py
+++ b/woadyard/registry/command.py
@@ -11,7 +11,7 @@
 import uvloop
 
 from woadyard.errors import WoadyardError
-from woadyard.net.config import ConfigError, address, addresses
+from woadyard.net.config import address, addresses
 from woadyard.ops import logs
 from woadyard.registry import add_arguments
 from woadyard.registry.follow import Follower
@@ -77,7 +77,7 @@
     except WoadyardError as error:
         LOG.error("can't start", extra=error.fields())
         return 2
-    except (ConfigError, OSError) as error:
+    except OSError as error:
         LOG.error("can't start", extra={"error": f"{type(error).__name__}: {error}"})
         return 2
     return 0
--- a/woadyard/standins/__main__.py
+++ b/woadyard/standins/__main__.py
@@ -114,7 +114,7 @@
     except WoadyardError as error:
         LOG.error("can't go on", extra=error.fields())
         return 2
-    except (config.ConfigError, OSError, ValueError) as error:
+    except (OSError, ValueError) as error:
         LOG.error("can't start", extra={"error": f"{type(error).__name__}: {error}"})
         return 2
     return 0
