Move the replicas' tests to the one owner of processes

Each started, listed and ended its processes by hand. 47 lines fewer; a process that is started anew under a name has a log of its own, so that no earlier line is taken for its.

--- a/tests/lab.py
+++ b/tests/lab.py
@@ -81,9 +81,12 @@
     heard: set[int] = field(default_factory=set)
     statuses: Counter[int] = field(default_factory=Counter)  # that the load got
 
-    def start(self) -> None:
+    def __post_init__(self) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
         self.log = self.folder / f"{self.name}.log"
+        self.log.unlink(missing_ok=True)  # of another process of that name
+
+    def start(self) -> None:
         with self.log.open("ab") as errors:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", *self.words], env=self.environ, stdin=subprocess.DEVNULL,
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -3,25 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import signal
 from collections.abc import Callable
-from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from tests.faults import CUT, DROP, PASS, FaultProxy
-from tests.process import Process, call, config, free_port, ready, start
-from tests.sockets import Endpoint, read_message, request, run
-from tests.test_registry import ENTRY, Watcher, ask, register, service
+from tests.lab import Lab, Program
+from tests.process import Process
+from tests.sockets import run
+from tests.test_registry import ENTRY, Watcher, ask, service
 from woadyard.errors import RecordError
 from woadyard.lists import ListBook
 from woadyard.lists.service import PATH
 from woadyard.registry.host import NO_CHAIN
 from woadyard.registry.log import Journal
 from woadyard.registry.service import Registry
+from woadyard.standins import CUT, DROP, PASS
 
 STALE_S = "0.5"
 
@@ -49,132 +48,86 @@
     return lambda told: told["generation"] == version and "following" not in told
 
 
-def test_a_replica_follows_over_cuts_and_kills_and_takes_the_writers_place(tmp_path: Path) -> None:
-    async def main() -> None:
-        ports = [free_port(), free_port()]
-        writer = await service(tmp_path / "w", ports[0])
-        proxy = FaultProxy(target=ports[0])
-        async with await proxy.start():
-            second = await replica(tmp_path / "r", ports[1], proxy.port)
-            await register(ports[0], "s-0")
-            await until(ports[1], caught_up(1))
-            status, _ = await register(ports[1], "s-1")
-            assert status == 307, "a replica sends writers on"
-            proxy.fault(DROP)
-            await register(ports[0], "s-1")
-            cut_off = await until(ports[1], lambda told: told.get("following") is False)
-            assert cut_off["generation"] == 1, "it serves what it has, and says so"
-            await end(second)
-            proxy.fault(PASS)
-            second = await replica(tmp_path / "r", ports[1], proxy.port)
-            assert (await until(ports[1], caught_up(2)))["instances"][1]["instanceId"] == "s-1"
-            await end(writer, second)
-        second = await service(tmp_path / "r", ports[1])  # without --follow: the writer from now on
-        assert (await register(ports[1], "s-2"))[1]["generation"] == 3
-        await end(second)
+async def follows(lab: Lab, name: str, writer: Any, port: int = 0) -> Program:
+    return await lab.service(name, writer, "--stale-after", STALE_S, port=port)
 
-    run(main())
+
+async def test_a_replica_follows_over_cuts_and_kills_and_takes_the_writers_place(lab: Lab) -> None:
+    writer = await lab.service("w")
+    proxy = await lab.proxy(writer)
+    second = await follows(lab, "r", proxy)
+    await lab.register(writer, "s-0", ENTRY)
+    await until(second.port, caught_up(1))
+    assert (await lab.register(second, "s-1", ENTRY)).status == 307, "a replica sends writers on"
+    proxy.fault(DROP)
+    await lab.register(writer, "s-1", ENTRY)
+    cut_off = await until(second.port, lambda told: told.get("following") is False)
+    assert cut_off["generation"] == 1, "it serves what it has, and says so"
+    await lab.kill(second)
+    proxy.fault(PASS)
+    second = await follows(lab, "r", proxy, second.port)
+    assert (await until(second.port, caught_up(2)))["instances"][1]["instanceId"] == "s-1"
+    await lab.kill(writer, second)
+    second = await lab.service("r")  # without --follow: the writer from now on
+    assert (await lab.register(second, "s-2", ENTRY)).json["generation"] == 3
 
 
-def test_a_sidecar_turns_to_another_replica_and_to_no_older_list(tmp_path: Path) -> None:
+async def test_a_sidecar_turns_to_another_replica_and_to_no_older_list(lab: Lab) -> None:
     """A sidecar process with two replicas, one cut off from the writer, one cut off
     from the sidecar: it is sent to what only the newest list names."""
-
-    async def main() -> None:
-        async with AsyncExitStack() as stack:
-            old, new = Endpoint(), Endpoint()
-            ports = [free_port() for _ in range(3)]
-            to_writer, *to_replicas = proxies = [FaultProxy(target=port) for port in ports]
-            listeners: tuple[Any, ...] = (old, new, *proxies)
-            for one in listeners:
-                await stack.enter_async_context(await one.start())
-            services = [await service(tmp_path / "w", ports[0])]
-            services.append(await replica(tmp_path / "1", ports[1], to_writer.port))
-            services.append(await replica(tmp_path / "2", ports[2], ports[0]))
-            entry = json.dumps(old.entry("s-0")).encode()
-            assert (await ask(ports[0], "PUT", f"{PATH}/s-0?ttl_ms=60000", entry))[0] == 200
-            for port in ports[1:]:
-                await until(port, caught_up(1))
-            port, door = free_port(), free_port()
-            environ = config(tmp_path, to_replicas[0], known=None)
-            both = ",".join(f"127.0.0.1:{one.port}" for one in to_replicas)
-            sidecar = await start(
-                {**environ, "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONSOLE": f"127.0.0.1:{door}",
-                 "LB_DISCOVERY": both}
-            )  # fmt: skip
-            await ready(door)
-
-            async def version(wanted: int) -> None:
-                while (
-                    f"woadyard_list_version {wanted}.0"
-                    not in (await call(door, "GET", "/_metrics")).body.decode()
-                ):
-                    await asyncio.sleep(0.02)
-
-            await version(1)
-            to_writer.fault(DROP)  # the first replica lags from now on
-            entry = json.dumps(new.entry("s-1")).encode()
-            assert (await ask(ports[0], "PUT", f"{PATH}/s-1?ttl_ms=60000", entry))[0] == 200
-            assert (await ask(ports[0], "DELETE", f"{PATH}/s-0"))[0] == 200
-            await version(3)
-            to_replicas[1].fault(CUT)  # and only the one that lags is left
-            taken = to_replicas[0].taken
-            while to_replicas[0].taken < taken + 2:
-                await asyncio.sleep(0.02)
-            await version(3)
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            for n in range(5):
-                writer.write(request(rid=f"r{n}"))
-                assert (await read_message(reader)).start.split()[1] == "200"
-            writer.close()
-            assert len(new.got) == 5 and not old.got, "nothing went by the older list"
-            await end(sidecar, *services)
-
-    run(main())
-
-
-def test_a_replica_of_another_log_is_turned_down_and_says_it_does_not_follow(tmp_path: Path) -> None:
-    async def main() -> None:
-        ports = [free_port(), free_port()]
-        first = await service(tmp_path / "1", ports[0])
-        await register(ports[0], "s-0")
-        await end(first)
-        writer = await service(tmp_path / "2", ports[0])  # an empty folder: another lineage
-        for n in range(3):
-            await register(ports[0], f"t-{n}")
-        second = await replica(tmp_path / "1", ports[1], ports[0])
-        assert writer.stderr is not None
-        while json.loads(await writer.stderr.readline())["event"] != "call refused":
-            pass
-        _, told = await ask(ports[1], "GET", PATH)
-        assert told["following"] is False
-        assert [one["instanceId"] for one in told["instances"]] == ["s-0"]
-        await end(writer, second)
-
-    run(main())
-
-
-def test_a_watch_on_a_replica_that_lost_its_writer_moves_on_at_once(tmp_path: Path) -> None:
-    async def main() -> None:
-        ports = [free_port(), free_port()]
-        writer = await service(tmp_path / "w", ports[0])
-        await register(ports[0], "s-0")
-        proxy = FaultProxy(target=ports[0])
-        async with await proxy.start():
-            second = await replica(tmp_path / "r", ports[1], proxy.port)
-            await until(ports[1], caught_up(1))
-            watcher = Watcher(ports[1], 1, 1)
-            watcher.discovery.replicas = [f"127.0.0.1:{port}" for port in reversed(ports)]
-            await watcher.reached.wait()
-            proxy.fault(CUT)
-            await register(ports[0], "s-1")
-            watcher.wanted, watcher.reached = 2, asyncio.Event()
-            await watcher.reached.wait()
-            watcher.discovery.close()
-            assert [version for version, _, _ in watcher.told] == sorted(v for v, _, _ in watcher.told)
-            await end(writer, second)
-
-    run(main())
+    old, new = await lab.endpoint(), await lab.endpoint()
+    writer = await lab.service("w")
+    to_writer = await lab.proxy(writer)
+    replicas = [await follows(lab, "1", to_writer), await follows(lab, "2", writer)]
+    to_replicas = [await lab.proxy(one) for one in replicas]
+    assert (await lab.register(writer, "s-0", old)).status == 200
+    for one in replicas:
+        await until(one.port, caught_up(1))
+    sidecar = await lab.sidecar("n1", discovery=to_replicas)
+    await sidecar.shows("woadyard_list_version 1.0")
+    to_writer.fault(DROP)  # the first replica lags from now on
+    assert (await lab.register(writer, "s-1", new)).status == 200
+    assert (await lab.call(writer.port, "DELETE", f"{PATH}/s-0")).status == 200
+    await sidecar.shows("woadyard_list_version 3.0")
+    to_replicas[1].fault(CUT)  # and only the one that lags is left
+    taken = to_replicas[0].taken
+    while to_replicas[0].taken < taken + 2:
+        await asyncio.sleep(0.02)
+    await sidecar.shows("woadyard_list_version 3.0")
+    for n in range(5):
+        assert (await sidecar.ask(rid=f"r{n}")).start.split()[1] == "200"
+    assert len(new.got) == 5 and not old.got, "nothing went by the older list"
+
+
+async def test_a_replica_of_another_log_is_turned_down_and_says_it_does_not_follow(lab: Lab) -> None:
+    first = await lab.service("1")
+    await lab.register(first, "s-0", ENTRY)
+    await lab.kill(first)
+    writer = await lab.service("2", port=first.port)  # an empty folder: another lineage
+    for n in range(3):
+        await lab.register(writer, f"t-{n}", ENTRY)
+    second = await follows(lab, "1", writer)
+    await writer.said("call refused")
+    told = (await lab.call(second.port, "GET", PATH)).json
+    assert told["following"] is False
+    assert [one["instanceId"] for one in told["instances"]] == ["s-0"]
+
+
+async def test_a_watch_on_a_replica_that_lost_its_writer_moves_on_at_once(lab: Lab) -> None:
+    writer = await lab.service("w")
+    await lab.register(writer, "s-0", ENTRY)
+    proxy = await lab.proxy(writer)
+    second = await follows(lab, "r", proxy)
+    await until(second.port, caught_up(1))
+    watcher = Watcher(second.port, 1, 1)
+    watcher.discovery.replicas = [f"127.0.0.1:{one.port}" for one in (second, writer)]
+    await watcher.reached.wait()
+    proxy.fault(CUT)
+    await lab.register(writer, "s-1", ENTRY)
+    watcher.wanted, watcher.reached = 2, asyncio.Event()
+    await watcher.reached.wait()
+    watcher.discovery.close()
+    assert [version for version, _, _ in watcher.told] == sorted(v for v, _, _ in watcher.told)
 
 
 def test_leases_run_anew_once_somebody_writes_again(tmp_path: Path) -> None:
