Count a follower's pause from the begin of its poll

A poll that had waited for its record was followed by 10 ms of pause all the same, which the next record waited out: the replica's watchers heard 3 to 5 ms later than before.

--- a/woadyard/registry/follow.py
+++ b/woadyard/registry/follow.py
@@ -30,8 +30,8 @@
 from woadyard.registry.replication import LOG_PATH
 from woadyard.registry.service import Registry
 
-# A poll returns at the next record, or after this with none; records that come
-# within the gap travel together.
+# A poll returns at the next record, or after this with none; polls are this far apart at
+# least, so that records written together travel together.
 POLL_S, CALL_S, GAP_S = 1.0, 2.5, 0.01
 RETRY_S, RETRY_MOST_S = 0.1, 2.0
 NAMES_MOST = 20  # of entries lost, in a log line
@@ -60,6 +60,7 @@
             if self.registry.writer is None:
                 await self.registry.waiters.woken(ROLE, 60.0)
                 continue
+            began = self.clock()
             try:
                 await self.step(self.registry.writer)
             except (FetchError, RecordError, StateError, ValueError, KeyError, TypeError) as error:
@@ -67,7 +68,7 @@
                 await asyncio.sleep(self.backoff.next_s())
             else:
                 self.backoff.reset()
-                await asyncio.sleep(GAP_S)
+                await asyncio.sleep(max(0.0, began + GAP_S - self.clock()))
 
     async def step(self, writer: str) -> None:
         """One poll, and what it brought."""
