Suspect a mismatch of shares before batches show their design effect

With a winner possible after six batches, a split of 100 to 80 with a large difference named a winner before the shares were called off: the test of shares takes a design effect of 4 for granted till batches show it. Suspicion, which only delays a winner, now takes none for granted. tests/test_experiment.py fails without the change (a mismatch of 100 to 80).

--- a/woadyard/experiment/ratio.py
+++ b/woadyard/experiment/ratio.py
@@ -45,9 +45,10 @@
             totals = self._by_shares[shares] = [0] * self._arms
         totals[arm] += tried
 
-    def evidence(self, newest: int, open_units: int, slack: float) -> float:
+    def evidence(self, newest: int, open_units: int, slack: float, guess: float = GUESS) -> float:
         """log of the Bayes factor against the plan's shares, without the last `open_units` up to
-        `newest` (they may be half told); 0 while nothing is known."""
+        `newest` (they may be half told); 0 while nothing is known. `guess` is the design effect
+        that is taken for likely before batches show it."""
         held = [unit for unit in range(newest - open_units + 1, newest + 1) if unit in self.units]
         units = len(self.units) - len(held)
         if units < 2:
@@ -64,7 +65,7 @@
             about += _pearson(counts, shares)
         # Spread between units about what was seen, not about the plan: a steady mismatch is none.
         spread = max(pearson - about, 0.0) / (self._arms - 1) * (1 + SMALL / units)
-        effect = max((spread + GUESS * GUESS_UNITS) / (units - 1 + GUESS_UNITS), 1.0)
+        effect = max((spread + guess * GUESS_UNITS) / (units - 1 + GUESS_UNITS), 1.0)
         return sum(_bayes([count / effect for count in counts], shares) for shares, counts in parts)
 
 
--- a/woadyard/experiment/stopper.py
+++ b/woadyard/experiment/stopper.py
@@ -192,19 +192,19 @@
         return self._first_s if math.isnan(self._start_s) else self._start_s
 
     def _mismatch(self) -> tuple[float, float]:
-        """Evidence against the shares: settled, and of all but the newest unit."""
+        """Evidence against the shares: settled, and such as may still come right."""
         if math.isnan(self._newest_s):
             return 0.0, 0.0
         layer = self._layers[-1]
         if len(layer.ratio.units) < ENOUGH_UNITS:
             layer = self._layers[0]
         newest, slack = layer.unit(self._newest_s), self.plan.ratio_slack
-        told = layer.ratio.evidence(newest, 1, slack)
+        # Suspicion only delays, so it takes no design effect for granted.
+        suspect = layer.ratio.evidence(newest, 1, slack, guess=1.0)
         if len(layer.ratio.units) <= RATIO_UNITS:
-            return 0.0, told
-        if not self._gaps:
-            return told, told
-        return layer.ratio.evidence(newest, 1 + math.ceil(SETTLE_S / layer.length_s), slack), told
+            return 0.0, suspect
+        late = math.ceil(SETTLE_S / layer.length_s) if self._gaps else 0
+        return layer.ratio.evidence(newest, 1 + late, slack), suspect
 
     def _harm(self) -> tuple[int, str] | None:
         """The first arm over a guardrail against control, and which."""
