--- a/woadyard/registry/log.py
+++ b/woadyard/registry/log.py
@@ -7,7 +7,7 @@
 snapshot is read, then the records past its index. A frame that is cut short
 or whose checksum fails ends the log there: it is dropped, with a log line,
 and never read as data. `seen` holds the greatest term that this process was
-told of, also where no record of it came.
+told of, also where no record of it came; `id` names the process over restarts.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 import json
 import logging
 import os
+import secrets
 import struct
 import zlib
 from pathlib import Path
@@ -30,7 +31,7 @@
 
 
 class Journal:
-    """The files in `folder`: `log`, `snapshot.json` and `seen`. OSError where the
+    """The files in `folder`: `log`, `snapshot.json`, `seen` and `id`. OSError where the
     disk refuses a write; what was in memory then stays as it was on disk."""
 
     def __init__(self, folder: Path) -> None:
@@ -38,6 +39,7 @@
         self.log_path, self.snapshot_path = folder / "log", folder / "snapshot.json"
         self.seen_path = folder / "seen"
         self.size = 0  # bytes of the log that count; what a failed write left is past them
+        self.snapshot_size = 0  # bytes
         self.tail = Tail()
 
     def recover(self, host: Host) -> None:
@@ -46,6 +48,7 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         if self.snapshot_path.exists():
             host.load(_read_json(self.snapshot_path))
+            self.snapshot_size = self.snapshot_path.stat().st_size
         self.tail.begin(host.applied, host.chain)
         good = 0
         data = self.log_path.read_bytes() if self.log_path.exists() else b""
@@ -53,7 +56,7 @@
             # Behind a state taken whole, what the log still held of an older term counts no more.
             if int(record["seq"]) > host.applied and record.get("term", 0) >= host.term:
                 host.apply(record)
-                self.tail.add(record, host.chain)
+                self.tail.add(record, host.chain, end - good)
             good = end
         if good < len(data):
             LOG.warning("torn log record dropped", extra={"offset": good, "bytes": len(data) - good})
@@ -70,7 +73,7 @@
         payload = json.dumps(record, separators=(",", ":")).encode()
         self._write(FRAME.pack(len(payload), zlib.crc32(payload)) + payload)
         changed = host.apply(record)
-        self.tail.add(record, host.chain)
+        self.tail.add(record, host.chain, len(payload))
         return changed
 
     def _write(self, frame: bytes) -> None:
@@ -85,7 +88,9 @@
 
     def snapshot(self, host: Host) -> None:
         """The host whole beside the last snapshot, renamed over it, and the log emptied."""
-        self._replace(self.snapshot_path, json.dumps(host.dump()).encode())
+        content = json.dumps(host.dump()).encode()
+        self._replace(self.snapshot_path, content)
+        self.snapshot_size = len(content)
         with open(self.log_path, "wb") as file:  # its records are all in the snapshot
             os.fsync(file.fileno())
         self.size = 0
@@ -99,6 +104,13 @@
         """Keep the greatest term told of over a restart."""
         self._replace(self.seen_path, str(term).encode())
 
+    def identity(self) -> str:
+        """The name of the process with this folder."""
+        path = self.folder / "id"
+        if not path.exists():
+            self._replace(path, secrets.token_hex(8).encode())
+        return path.read_text()
+
     def seen(self) -> int:
         try:
             return int(self.seen_path.read_bytes()) if self.seen_path.exists() else 0
