Report what each sidecar acts on, and mend or shut out those left behind

With `audit` in its file a sidecar reports its spans each second and soon after its position changed, to any replica, and each attempt carries its position to the endpoint.

Tests with five sidecars, writer and replica and a fault proxy on each control link: over drops, cuts, resets, delays and lost answers the ledger's attempts equal the endpoints' counts by sidecar and position, exactly; what kills of sidecars lose lies in declared gaps; a writer killed under reports loses and repeats none; a dropped watch is mended by a report; a sidecar whose answers are lost is shut out and comes back; where three of five are cut off the fleet is held and nobody is refused.

--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -35,7 +35,6 @@
 from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver
 from woadyard.net.gossip import Gossip
-from woadyard.net.observe import Observers
 from woadyard.net.server import Server
 from woadyard.net.sharing import Shared
 from woadyard.net.state import LOOK_S, Seats
@@ -46,6 +45,7 @@
 
 if TYPE_CHECKING:
     from woadyard.net.recorder import Recorder
+    from woadyard.net.reporter import Reporter
 
 LOG = logging.getLogger("woadyard")
 LIST_PATH = "/registry/instances"
@@ -168,10 +168,21 @@
     from woadyard.net.recorder import Recorder
 
     recorder = Recorder(config.record, name, config.seed, driver.now())
-    driver.observer = recorder if driver.observer is None else Observers(driver.observer, recorder)
+    driver.observe(recorder)
     return recorder
 
 
+def open_reporter(
+    config: Config, driver: Driver, name: str, discovery: Discovery, server: Server
+) -> Reporter | None:
+    """Report what this process acts on, where the file says so."""
+    if config.audit is None:
+        return None
+    from woadyard.net.auditing import reporter_of
+
+    return reporter_of(config.audit, name, driver, discovery, server)
+
+
 def take_seat(
     config: Config, loop: asyncio.AbstractEventLoop, halve: Callable[[float], None]
 ) -> Seats | None:
@@ -217,6 +228,7 @@
     loop.add_signal_handler(signal.SIGHUP, Reload(config, driver, discovery, guard))
     recorder = open_recorder(config, driver, name)
     server = Server(driver, most)
+    reporter = open_reporter(config, driver, name, discovery, server)
     seats = take_seat(config, loop, server.share)
     try:
         driver.start(config.known, seats is None or seats.alone)
@@ -234,10 +246,14 @@
         raise ConfigError(f"can't listen: {error}") from None
     gossip = open_gossip(config, driver)
     console = open_console(config, server, seats, guard, recorder)
+    if reporter is not None:
+        reporter.open()
     ended = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, server.stop, ended.set)
     loop.add_signal_handler(signal.SIGINT, server.stop, ended.set)
     await ended.wait()
+    if reporter is not None:
+        await reporter.close()
     if console is not None:
         console.close()
     if gossip is not None:
--- a/woadyard/audit/ledger.py
+++ b/woadyard/audit/ledger.py
@@ -124,3 +124,7 @@
 
     def out(self) -> list[str]:
         return sorted(name for name in self.names if self.shut_out(name))
+
+    def holder_out(self, holder: str) -> bool:
+        """The same of one that holds shares, `NAME` or `NAME@...`."""
+        return self.shut_out(holder.partition("@")[0])
--- a/woadyard/audit/messages.py
+++ b/woadyard/audit/messages.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from woadyard.errors import PeerError
+from woadyard.errors import ConfigError, PeerError
 
 Count = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
@@ -60,18 +60,26 @@
     evidence: Any = None  # of experiments, for their own book
 
 
-class Answer(msgspec.Struct, omit_defaults=True):
+class Answer(msgspec.Struct, omit_defaults=True, rename={"whole": "list"}):
     """`acks`: numbers from `low` on that no crash of one process can lose any more."""
 
     acks: list[int]
     head: str  # position of the list's head
     state: str = "current"
-    list: Any = None  # the whole list, where the reporter is behind
+    whole: Any = None  # the list, where the reporter is behind
     plan: Any = None  # whole directives, where the reporter's revision is another
     experiment: Any = None
     out: list[str] = []  # names of sidecars that are shut out: nobody takes their verdicts
 
 
+def read_settings(raw: Any) -> AuditSettings:
+    """The file's `audit`; ConfigError where it is none."""
+    try:
+        return msgspec.convert(raw, AuditSettings)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"audit: {error}") from None
+
+
 def read(raw: bytes, kind: type[T]) -> T:
     """PeerError, one line, on anything but one whole `kind`."""
     try:
--- a/woadyard/audit/position.py
+++ b/woadyard/audit/position.py
@@ -12,6 +12,7 @@
 from woadyard.errors import PeerError
 
 HEADER = b"X-Acted-On"
+REPORT_PATH = "/registry/audit/report"
 _FIELD = re.compile(r"[A-Za-z0-9_-]{0,40}")
 
 
--- a/woadyard/audit/straggler.py
+++ b/woadyard/audit/straggler.py
@@ -72,10 +72,9 @@
     heard: int = 0
     overdue: bool = False
 
-    @property
-    def vain(self) -> bool:
-        """Whether it was told the list and is behind still."""
-        return self.state == BROUGHT_UP and self.told > 1
+    def vain(self, now: int, rules: Rules) -> bool:
+        """Whether it was told the list and is behind still; one that it mends says so soon."""
+        return self.state == BROUGHT_UP and (self.told > 1 or 2 * (now - self.heard) > rules.behind_ms)
 
     def hear(self, lag: int, now: int, rules: Rules) -> None:
         """A report whose position has been replaced for `lag` ms."""
@@ -112,7 +111,8 @@
         """One report, and what it comes to; see `Straggler.state` before and after."""
         one = self.stragglers.setdefault(key, Straggler())
         one.hear(lag, now, self.rules)
-        self.judge(now)
+        if self.held or one.state != CURRENT:
+            self.judge(now)
         if one.overdue and not self.held and one.state == BROUGHT_UP:
             one.state, one.at_head = SHUT_OUT, 0
         return one
@@ -124,7 +124,7 @@
             if now - one.heard <= self.rules.silent_ms or one.state == SHUT_OUT
         ]  # fmt: skip
         # One that its first bring-up mends says nothing of the others.
-        lagging = [one for one in live if one.state == SHUT_OUT or one.vain]
+        lagging = [one for one in live if one.state == SHUT_OUT or one.vain(now, self.rules)]
         most = max(1, int(self.rules.shut_out_share * len(live)))
         if len(lagging) > most:
             self.held, self.calm = True, now
--- a/woadyard/limits/service.py
+++ b/woadyard/limits/service.py
@@ -9,8 +9,9 @@
 import msgspec
 from aiohttp import web
 
+from woadyard.audit.ledger import AuditBook
 from woadyard.limits.book import HOLD, LimitsBook
-from woadyard.registry.answers import answer, at_writer, body, query
+from woadyard.registry.answers import answer, at_writer, body, query, refusal
 from woadyard.registry.service import Registry
 
 SHARES_PATH = "/registry/shares/"
@@ -37,6 +38,10 @@
 
 def routes(registry: Registry) -> list[web.RouteDef]:
     async def hold(request: web.Request) -> web.StreamResponse:
+        if registry.book(AuditBook).holder_out(request.match_info["name"]):
+            # What it holds lapses with its lease, never earlier.
+            remedy = "it gets shares again once it acts on the list of by now"
+            return refusal(409, "shut out by the audit", remedy)
         name, ttl_us = request.match_info["name"], query(request, HoldQuery).ttl_ms * 1000
         asked = await body(request, Hold)
         call = {"seq_of": asked.seq, "limit": asked.limit, "of": asked.of, "keeps": asked.keeps}
--- a/woadyard/net/attempts.py
+++ b/woadyard/net/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from woadyard.interface import CANCELLED, MOOT, OK, TIMEOUT, Outcome, Send
 from woadyard.net.message import Answer, Attempt
 from woadyard.net.names import InForce
@@ -25,6 +27,8 @@
         self.turns, self.requests, self.places = turns, requests, places
         self.force, self.upstream, self.metrics = force, upstream, metrics
         requests.stop = self.stop
+        # The audit is told of attempts that no endpoint saw: request and endpoint.
+        self.unsent: Callable[[int, int], None] | None = None
         upstream.ended, upstream.may_start, upstream.relay = self.ended, self.may_start, self.relay
 
     def may_start(self, attempt: Attempt, now: int) -> bool:
@@ -106,6 +110,8 @@
             self.force.names.report(load),
             call.upload is not None and call.upload.spent,
         )
+        if self.unsent is not None and not attempt.wrote:
+            self.unsent(call.id, attempt.endpoint)
         if (observer := self.turns.observer) is not None:
             observer.ended(now, event)
         self.turns.tell(self.turns.balancer.outcome, event, call=call)
--- a/woadyard/net/config.py
+++ b/woadyard/net/config.py
@@ -14,6 +14,7 @@
 from woadyard.wire import WireError, read_settings
 
 if TYPE_CHECKING:
+    from woadyard.audit import AuditSettings
     from woadyard.net.recorder import RecordSettings
 
 SOCKETS_DEFAULT = 1024
@@ -49,6 +50,7 @@
     locality: Locality | None = None
     shared: SharedSettings | None = None
     record: RecordSettings | None = None
+    audit: AuditSettings | None = None
     shrink_most: float = 1.0  # share of the list that may be lost at once and be believed
 
 
@@ -85,8 +87,9 @@
         discovery = str(environ.get("LB_DISCOVERY") or raw["discovery"])
         addresses(discovery)
         accept = environ.get("LB_ACCEPT_FD")
-        if raw.get("shared") and not (environ.get("LB_NAME") or raw.get("name")):
-            raise ValueError("shared needs a name of this sidecar's own")
+        for part in ("shared", "audit"):
+            if raw.get(part) and not (environ.get("LB_NAME") or raw.get("name")):
+                raise ValueError(f"{part} needs a name of this sidecar's own")
         found = shared(raw)
         longest_us = max(float(entry["deadline-us"]) for entry in raw["settings"]["classes"])
         if found is not None and found.limit and found.lease_s * 1e6 <= longest_us:
@@ -108,6 +111,7 @@
             log_level=log_level(raw),
             locality=locality(raw),
             shared=found,
+            audit=audit(raw),
             record=record(raw, bool(console)),
             shrink_most=shrink_most(raw),
         )
@@ -177,6 +181,17 @@
     return read_record(raw["record"])
 
 
+def audit(raw: dict[str, Any]) -> AuditSettings | None:
+    """Where what this sidecar acts on is reported; None where the file says nothing."""
+    if raw.get("audit") is None:
+        return None
+    from woadyard.audit.messages import read_settings as read_audit  # loaded only where it is on
+
+    found = read_audit(raw["audit"])
+    addresses(found.service)
+    return found
+
+
 def shrink_most(raw: dict[str, Any]) -> float:
     """The share of the endpoints, above 0 and up to 1, that lists may lose at once
     before they are held back; 1 (nothing is held) where the file says none."""
@@ -206,6 +221,7 @@
         log_level(raw)
         shrink_most(raw)
         shared(raw)
+        audit(raw)
         locality(raw)
         settings = raw["settings"]
         _has_all(settings, force["settings"], "settings.")
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -116,6 +116,7 @@
         self.on_failed: Callable[[], None] = lambda: None
         self.on_anew: Callable[[], None] = lambda: None  # generations count anew from the next list
         self.held = Held()
+        self.telling = ("", 0)  # lineage and term of the list that is being told, or was last
         self.stream: Stream | None = None  # the watch
         self.silent_s = SILENT_S
         self.tasks: set[asyncio.Task[None]] = set()
@@ -164,6 +165,12 @@
             self.stream = self._ask(self.held.target(self.path), watch=True)
             self.loop.call_later(self.silent_s, self._check, self.stream)
 
+    def again(self) -> None:
+        """Begin the watch anew at another replica: this one tells nothing, or too late."""
+        if self.stream is not None:
+            self.turn = (self.turn + 1) % len(self.replicas)
+            self.watch(True)
+
     def fetch(self) -> None:
         self._ask(self.path, watch=False)
 
@@ -224,6 +231,7 @@
     def _take(self, name: Named, whole: bool, entries: list[dict[str, Any]]) -> None:
         if self.held.anew(name):
             self.on_anew()
+        self.telling = name.lineage, name.term
         self.listen(name.generation, whole, entries)
         self.held.take(name, self.loop.time())
 
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -35,7 +35,7 @@
 from woadyard.net.discovery import Discovery
 from woadyard.net.message import Answer, Call
 from woadyard.net.names import InForce, Names
-from woadyard.net.observe import Listener, Observer
+from woadyard.net.observe import Listener, Observer, Observers
 from woadyard.net.places import Place, Places
 from woadyard.net.requests import Requests
 from woadyard.net.sharing import Shared, Trust
@@ -107,6 +107,10 @@
     def observer(self, observer: Observer | None) -> None:
         self.turns.observer = observer
 
+    def observe(self, observer: Observer) -> None:
+        """One more, beside those there are."""
+        self.observer = observer if self.observer is None else Observers(self.observer, observer)
+
     def start(self, known: dict[str, Any] | None, alone: bool = True) -> None:
         self._retuned()
         self.tell(self.balancer.start, alone)
@@ -166,6 +170,12 @@
             self.shared.entries = entries
             self._trust()
 
+    def distrust(self, names: frozenset[str]) -> None:
+        """The verdicts of sidecars of these names do not count, until they are left out again."""
+        if self.shared is not None:
+            self.shared.distrusted = names
+            self._trust()
+
     def weigh(self, factors: Mapping[str, float]) -> None:
         """A plan's weights by instance id, each above 0 and up to 1, from now on and over all
         lists; they lower what the list says. Who is not named keeps its weight whole."""
--- a/woadyard/net/link.py
+++ b/woadyard/net/link.py
@@ -130,6 +130,7 @@
             return
         self.upload = attempt.call.upload
         self.unwritten = self.upload is not None
+        attempt.wrote = True
         transport.write(request_bytes(attempt, now))
         if self.upload is not None:
             self.upload.attach(self)
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -150,7 +150,10 @@
 
 
 class Attempt:
-    __slots__ = ("call", "copy", "endpoint", "extra", "head_us", "link", "out", "sent", "timer", "until")
+    __slots__ = (
+        "call", "copy", "endpoint", "extra", "head_us", "link", "out", "sent", "timer", "until",
+        "wrote",
+    )  # fmt: skip
 
     def __init__(self, call: Call, copy: int, endpoint: int, now: int, until: int) -> None:
         self.call = call
@@ -160,6 +163,7 @@
         self.until = until  # when the sidecar stops waiting
         self.out = True  # no outcome yet
         self.extra = b""  # header lines of this attempt alone
+        self.wrote = False  # a byte of it may have reached the endpoint
         self.head_us = 0  # until its answer began to be passed on
         self.link: Carrier | None = None
         self.timer: TimerHandle | None = None
--- /dev/null
+++ b/woadyard/net/reporter.py
@@ -0,0 +1,227 @@
+"""Reports to the list service what this process acts on, and obeys the answer.
+
+A report goes out each `every-ms`, and soon after the position changed, to one replica; where that
+fails, to the next one after a backoff. The service away changes nothing here: what was counted is
+kept, within its bound, and told once it is back. A shut-out holds only while it is renewed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import random
+import secrets
+import time
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+
+from woadyard.audit.messages import Answer, AuditSettings, read
+from woadyard.audit.position import REPORT_PATH, Position, digest
+from woadyard.audit.spans import Spans
+from woadyard.audit.straggler import BROUGHT_UP, SHUT_OUT
+from woadyard.errors import ConfigError, PeerError
+from woadyard.interface import MOOT, Arrival, Outcome, Send, Settings
+from woadyard.net.backoff import Backoff
+from woadyard.net.config import address
+from woadyard.net.fetch import FetchError, fetch
+
+CALL_S, LAST_S = 2.0, 0.3
+RETRY_S, RETRY_MOST_S = 0.2, 2.0
+LOG = logging.getLogger(__name__)
+
+
+@dataclass
+class Orders:
+    """What the service's answers bring about here; all on the loop."""
+
+    listed: Callable[[bytes], bool]  # a whole list, checked as one of the watch is
+    watch_anew: Callable[[], None]  # at another replica
+    shut_out: Callable[[bool], None]
+    mistrust: Callable[[frozenset[str]], None]  # names whose verdicts count no more
+    # A directive; the revision acted on from now on. PeerError where it is none.
+    plan: Callable[[Any], int] = lambda told: 0
+    experiment: Callable[[Any], int] = lambda told: 0
+    evidence: Callable[[], Any] = lambda: None  # goes with the next report
+    acked: Callable[[Collection[int]], None] = lambda numbers: None
+
+
+class Reporter:
+    """An observer of the driver. `named` tells lineage and term of the list that is told right now."""
+
+    def __init__(
+        self,
+        settings: AuditSettings,
+        name: str,
+        build: str,
+        named: Callable[[], tuple[str, int]],
+        orders: Orders,
+        rng: random.Random,
+    ) -> None:
+        self.settings, self.named, self.orders, self.rng = settings, named, orders, rng
+        self.replicas = [address(one.strip()) for one in settings.service.split(",")]
+        self.turn = rng.randrange(len(self.replicas))
+        self.position = Position(build=build)
+        self.spans = Spans(name, secrets.token_hex(6), now_us(), self.position, settings.spans)
+        self.backoff = Backoff(rng, RETRY_S, RETRY_MOST_S)
+        self.moved = asyncio.Event()
+        self.heard = now_us()  # the last answer
+        self.out = False
+        self.distrusted: frozenset[str] = frozenset()
+        self.task: asyncio.Task[None] | None = None
+        self.told: set[str] = set()  # faults of the service that are logged, until it answers well
+
+    # --- What the driver tells --------------------------------------------------------
+
+    def taken(self, now: int, event: Arrival) -> None:
+        pass
+
+    def sent(self, now: int, action: Send) -> bytes:
+        return self.spans.attempt(now, action.request, action.endpoint)
+
+    def ended(self, now: int, event: Outcome) -> None:
+        self.spans.ended(event.request, event.endpoint, event.outcome != MOOT)
+
+    def unsent(self, request: int, endpoint: int) -> None:
+        """An attempt is about to end of which no byte was written."""
+        self.spans.ended(request, endpoint, False)
+
+    def answered(self, now: int, request: int, status: int) -> None:
+        pass
+
+    def refused(self, now: int, request: int) -> None:
+        self.spans.refused(now)
+
+    def listed(self, now: int, mode: int, version: int, raw: list[dict[str, Any]]) -> None:
+        lineage, term = self.named()
+        self._act(now, lineage=lineage, term=term, generation=version)
+
+    def retuned(self, now: int, settings: Settings, raw: dict[str, Any]) -> None:
+        self._act(now, settings=digest(raw))
+
+    def _act(self, now: int, **changes: Any) -> None:
+        self.position = msgspec.structs.replace(self.position, **changes)
+        if self.spans.act(now, self.position):
+            self.moved.set()
+
+    # --- Reports ----------------------------------------------------------------------
+
+    def open(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self._run())
+        self.task.add_done_callback(_failed)
+
+    async def close(self) -> None:
+        """The last report: without it the service has a gap from the one before on."""
+        if self.task is not None:
+            self.task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.task
+            await self._report(LAST_S, final=True)
+
+    async def _run(self) -> None:
+        every_s = self.settings.every_ms / 1e3
+        while True:
+            if await self._report(CALL_S):
+                self.backoff.reset()
+                wait_s = every_s
+            else:
+                self.turn = (self.turn + 1) % len(self.replicas)
+                wait_s = self.backoff.next_s()
+            self._let_in_again()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self.moved.wait()
+                    # A list moves all sidecars at once: they report spread over half of the time.
+                    await asyncio.sleep(self.rng.uniform(0.0, every_s / 2))
+
+    async def _report(self, within_s: float, final: bool = False) -> bool:
+        self.moved.clear()
+        report = self.spans.report(now_us(), final)
+        report.evidence = self.orders.evidence()
+        raw = msgspec.json.encode(report)
+        try:
+            at = self.replicas[self.turn]
+            status, back = await fetch(at, "POST", REPORT_PATH, raw, timeout_s=within_s)
+            if status != HTTPStatus.OK:
+                raise PeerError(
+                    f"the service answers {status}: {back[:200].decode(errors='replace').strip()}"
+                )
+            answer = read(back, Answer)
+        except (FetchError, PeerError) as error:
+            self.spans.failed(report.n)
+            if isinstance(error, PeerError):
+                self._say("report not taken", error)
+            return False
+        self.told.clear()
+        self.heard = now_us()
+        self.spans.acked(answer.acks)
+        self.orders.acked(answer.acks)
+        self._obey(answer)
+        return True
+
+    # --- Answers ----------------------------------------------------------------------
+
+    def _obey(self, answer: Answer) -> None:
+        if answer.state == BROUGHT_UP and answer.whole is not None:
+            LOG.warning("behind: the list comes with the audit's answer", extra={"head": answer.head})
+            self.orders.watch_anew()
+        for act in (self._list, self._plan, self._experiment):
+            try:
+                act(answer)
+            except PeerError as error:
+                self._say("an answer of the audit is not used", error)
+        if (out := frozenset(answer.out)) != self.distrusted:
+            self.distrusted = out
+            self.orders.mistrust(out)
+        self._shut(answer.state == SHUT_OUT)
+
+    def _list(self, answer: Answer) -> None:
+        if answer.whole is not None:
+            self.orders.listed(msgspec.json.encode(answer.whole))
+
+    def _plan(self, answer: Answer) -> None:
+        if answer.plan is not None:
+            self._act(now_us(), plan=self.orders.plan(answer.plan))
+
+    def _experiment(self, answer: Answer) -> None:
+        if answer.experiment is not None:
+            self._act(now_us(), experiment=self.orders.experiment(answer.experiment))
+
+    def _shut(self, out: bool) -> None:
+        if out != self.out:
+            self.out = out
+            LOG.warning("shut out by the audit" if out else "let in again")
+            self.orders.shut_out(out)
+
+    def _let_in_again(self) -> None:
+        """The service says nothing: that alone shuts nobody out."""
+        if now_us() - self.heard > self.settings.out_ms * 1000:
+            self._shut(False)
+
+    def _say(self, event: str, error: PeerError) -> None:
+        if str(error) not in self.told and len(self.told) < 16:
+            self.told.add(str(error))
+            LOG.warning(event, extra=error.fields())
+
+
+def _failed(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and (error := task.exception()) is not None:
+        LOG.error("fault in the audit's reporter", exc_info=error)
+
+
+def now_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+def check(settings: AuditSettings | None) -> None:
+    """ConfigError where its addresses are none."""
+    if settings is not None:
+        for one in settings.service.split(","):
+            try:
+                address(one.strip())
+            except ConfigError as error:
+                raise ConfigError(f"audit.service: {error}") from None
--- a/woadyard/net/sharing.py
+++ b/woadyard/net/sharing.py
@@ -21,13 +21,15 @@
         self.name, self.eject_share = name, eject_share
         self.publish: Callable[[int, str | None], None] = lambda endpoint, state: None
         self.entries: list[Entry] = []
+        self.distrusted: frozenset[str] = frozenset()  # names whose verdicts do not count
         self.factors: dict[int, float] = {}
         self.affinity = Affinity()
         self.relimit: Callable[[], None] = lambda: None  # tells the caps anew
 
     def judge(self, ready: set[int], metrics: Quiet) -> dict[int, float]:
         """Factors below 1 that the other sidecars' verdicts leave, by endpoint."""
-        factors = trusts(self.entries, self.name, ready, self.eject_share)
+        entries = [one for one in self.entries if one.name not in self.distrusted]
+        factors = trusts(entries, self.name, ready, self.eject_share)
         if factors != self.factors:
             self.factors = factors
             metrics.lowered(len(factors))
--- a/woadyard/registry/__init__.py
+++ b/woadyard/registry/__init__.py
@@ -30,6 +30,10 @@
         help="write on from this log though another one, of a greater term, was heard of; "
         "what is only there is lost",
     )  # fmt: skip
+    parser.add_argument(
+        "--audit-rules", metavar="FILE", type=Path,
+        help="JSON: from when on sidecars are behind, and shut out (docs/on-call.md)",
+    )  # fmt: skip
     parser.add_argument(
         "--stale-after", metavar="SECONDS", type=float, default=5.0,
         help="a replica that heard nothing of the writer for so long says so to its clients",
--- a/woadyard/registry/books.py
+++ b/woadyard/registry/books.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from woadyard.audit.ledger import AuditBook
 from woadyard.limits import LimitsBook
 from woadyard.lists import ListBook
 from woadyard.registry.book import Book
@@ -9,4 +10,4 @@
 
 def books() -> list[Book]:
     """Each empty; what the files hold is loaded into them."""
-    return [ListBook(), LimitsBook()]
+    return [ListBook(), LimitsBook(), AuditBook()]
--- a/woadyard/registry/command.py
+++ b/woadyard/registry/command.py
@@ -7,9 +7,12 @@
 import logging
 import random
 import signal
+from pathlib import Path
 
+import msgspec
 import uvloop
 
+from woadyard.audit.straggler import Rules
 from woadyard.errors import RecordError, StateError
 from woadyard.net.config import ConfigError, address, addresses
 from woadyard.ops import logs
@@ -59,6 +62,14 @@
             one.cancel()
 
 
+def read_rules(path: Path) -> Rules:
+    """The audit's; ConfigError where the file holds none."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=Rules)
+    except (OSError, msgspec.DecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
 def start(arguments: argparse.Namespace) -> int:
     logs.setup()
     try:
@@ -68,6 +79,8 @@
         if arguments.peers:
             addresses(arguments.peers)
         registry = Registry(Journal(arguments.data), writer=arguments.follow, copies=arguments.copies)
+        if arguments.audit_rules is not None:
+            registry.rules = read_rules(arguments.audit_rules)
         uvloop.run(run(registry, arguments))
     except (RecordError, StateError) as error:
         LOG.error("can't start", extra=error.fields())
--- a/woadyard/registry/routes.py
+++ b/woadyard/registry/routes.py
@@ -8,12 +8,13 @@
 
 from aiohttp import web
 
+from woadyard.audit import service as audit
 from woadyard.limits import service as limits
 from woadyard.lists import service as lists
 from woadyard.registry import replication
 from woadyard.registry.service import Registry
 
-PARTS = (lists.routes, limits.routes, replication.routes)
+PARTS = (lists.routes, limits.routes, audit.routes, replication.routes)
 
 
 def routes(registry: Registry) -> list[web.RouteDef]:
