--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -34,10 +34,13 @@
     return process
 
 
-async def ask(port: int, method: str, target: str, body: bytes = b"", text: bool = False) -> tuple[int, Any]:
+async def ask(
+    port: int, method: str, target: str, body: bytes = b"", text: bool = False, headers: str = ""
+) -> tuple[int, Any]:
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(
-        f"{method} {target} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+        f"{method} {target} HTTP/1.1\r\nHost: x\r\n{headers}Content-Length: {len(body)}\r\n\r\n".encode()
+        + body
     )
     back = await read_message(reader)
     writer.close()
--- a/woadyard/registry/books.py
+++ b/woadyard/registry/books.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from woadyard.audit.ledger import AuditBook
 from woadyard.limits import LimitsBook
 from woadyard.lists import ListBook
 from woadyard.registry.book import Book
@@ -10,4 +11,4 @@
 
 def books() -> list[Book]:
     """Each empty; what the files hold is loaded into them."""
-    return [ListBook(), LimitsBook(), Plans()]
+    return [ListBook(), LimitsBook(), AuditBook(), Plans()]
