--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -183,6 +183,20 @@
     return reporter_of(config.audit, name, driver, discovery, server)
 
 
+def open_plans(driver: Driver, reporter: Reporter | None, recorder: Recorder | None) -> None:
+    """Act on plans of weights: they come with the answers to reports."""
+    if reporter is None:
+        return
+    from woadyard.net.weights import Weights
+
+    def told(revision: int, weights: dict[str, float]) -> None:
+        if recorder is not None:
+            recorder.weighed(driver.now(), revision, weights)
+
+    driver.planned = weights = Weights(driver.weigh, told)
+    reporter.orders.plan = weights.direct
+
+
 def take_seat(
     config: Config, loop: asyncio.AbstractEventLoop, halve: Callable[[float], None]
 ) -> Seats | None:
@@ -229,6 +243,7 @@
     recorder = open_recorder(config, driver, name)
     server = Server(driver, most)
     reporter = open_reporter(config, driver, name, discovery, server)
+    open_plans(driver, reporter, recorder)
     seats = take_seat(config, loop, server.share)
     try:
         driver.start(config.known, seats is None or seats.alone)
