--- a/tests/audit_fleet.py
+++ b/tests/audit_fleet.py
@@ -16,42 +16,23 @@
 from pathlib import Path
 from typing import Any
 
-from tests.faults import CUT, DROP, PASS, RESET, FaultProxy
 from tests.process import Process
-from tests.sockets import SETTINGS, Endpoint, Message, Reader, Writer, answer, read_message, request
+from tests.sockets import SETTINGS, Endpoint, Message, Writer, answer, read_message, request
 from tests.test_registry import ask
 from woadyard.lists.service import PATH
+from woadyard.standins import CUT, DELAY, DROP, HERE, PASS, RESET, FaultProxy
 
 RULES = {"behind-ms": 1500, "shut-out-ms": 6000, "bring-ups": 100}
 AUDIT = "/registry/audit"
 
 
-@dataclass
-class OneWay(FaultProxy):
-    """Also loses what comes back, where `deaf`."""
-
-    deaf: bool = False
-
-    async def _relay(self, source: Reader, sink: Writer, back: Writer) -> None:
-        answers = sink.get_extra_info("sockname") == ("127.0.0.1", self.port)
-        if not answers:
-            return await super()._relay(source, sink, back)
-        with contextlib.suppress(OSError):
-            while data := await source.read(64 * 1024):
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
-                if self.mode == PASS and not self.deaf:
-                    sink.write(data)
-                    await sink.drain()
-
-
 @dataclass
 class Member:
     """One sidecar: its socket, its process, and the links of its watch and its reports."""
 
     name: str
     listener: socket.socket  # held here, so that its port stays its own over a restart
-    links: dict[str, list[OneWay]]
+    links: dict[str, list[FaultProxy]]
     process: Process | None = None
     asks: int = 0
     answers: Counter[int] = field(default_factory=Counter)
@@ -62,8 +43,12 @@
 
     def fault(self, kind: str, mode: str = PASS, delay_s: float = 0.0, deaf: bool = False) -> None:
         for link in self.links[kind]:
-            link.delay_s, link.deaf = delay_s, deaf
-            link.fault(mode)
+            if deaf:
+                link.fault(DROP, way=HERE)
+            elif delay_s:
+                link.fault(DELAY, delay_s=(delay_s, delay_s))
+            else:
+                link.fault(mode)
             if deaf or mode == DROP:
                 for writer in list(link.writers):
                     writer.transport.abort()
@@ -126,8 +111,8 @@
             if process is not None and process.returncode is None:
                 await self.kill(process)
 
-    async def _link(self, port: int) -> OneWay:
-        link = OneWay(target=port)
+    async def _link(self, port: int) -> FaultProxy:
+        link = FaultProxy(target=port)
         self.stack.callback((await link.start()).close)
         return link
 
--- a/woadyard/lists/service.py
+++ b/woadyard/lists/service.py
@@ -3,7 +3,8 @@
 - `GET /registry/instances`: the whole list, `{"generation", "reset", "instances"}`, with
   the `lineage` and `term` that the generation is of.
 - `GET /registry/instances?index=N&wait=S`: the same, once the version is past N
-  or S seconds (at most `WAIT_MOST_S`) have gone: a long poll.
+  or S seconds (at most `WAIT_MOST_S`) have gone: a long poll; at once where `term=T`
+  names another term.
 - `GET /registry/instances?watch=1&from=N&term=T&lineage=L`: the protocol's watch, a
   chunked answer with a line for each change (a whole list first where N of term T is no
   part of this list's history, or too old) and an empty line every `BEAT_S` while
@@ -57,6 +58,7 @@
 
     def __init__(self, registry: Registry) -> None:
         self.registry = registry
+        self.last: tuple[object, bytes] = None, b""  # what was told last, and to whom: most hold the same
         registry.counts.version.set_function(lambda: self.book.version)
 
     @property
@@ -77,14 +79,18 @@
         with counts.watches.track_inprogress():
             if kind == "watch":
                 return await self.watch(request, asked)
-            await self._changed_past(asked.index or 0, asked.wait)
+            await self._changed_past(asked.term, asked.index or 0, asked.wait)
         return answer(self._told(self.book.listing()))
 
-    async def _changed_past(self, version: int, wait_s: float) -> None:
+    async def _changed_past(self, term: int, version: int, wait_s: float) -> None:
         wait_s, behind = min(WAIT_MOST_S, max(0.0, wait_s)), self.registry.behind
         await self.registry.waiters.until(
             ListBook.name,
-            lambda: self.book.version > version or self.registry.behind != behind,
+            lambda: (
+                self.book.version > version
+                or self.registry.behind != behind
+                or term not in (0, self.book.term)
+            ),
             wait_s,
         )
 
@@ -95,12 +101,8 @@
         at = (asked.term, asked.since) if asked.lineage == self.registry.host.lineage else (-1, asked.since)
         while True:
             book, behind = self.book, self.registry.behind
-            told = book.changes_since(*at)
+            line = self._line(*at)
             at = book.term, book.version
-            if told["instances"] or told["reset"] or behind:
-                line = msgspec.json.encode(self._told(told)) + b"\n"
-            else:
-                line = b"\n"
             # Waits where the peer does not read: it is then told the sum of what changed,
             # and none of it is held for it.
             await response.write(line)
@@ -109,6 +111,17 @@
             if (self.book.term, self.book.version) == at and not self.registry.behind:
                 await self.registry.waiters.woken(ListBook.name, BEAT_S)
 
+    def _line(self, term: int, version: int) -> bytes:
+        """For a watch at (term, version): what changed since, or an empty line."""
+        book, behind = self.book, self.registry.behind
+        key = (term, version, book, book.term, book.version, behind)
+        if self.last[0] != key:
+            told, line = book.changes_since(term, version), b"\n"
+            if told["instances"] or told["reset"] or behind:
+                line = msgspec.json.encode(self._told(told)) + b"\n"
+            self.last = key, line
+        return self.last[1]
+
     async def put(self, request: web.Request) -> web.StreamResponse:
         ttl_ms = query(request, PutQuery).ttl_ms
         entry = await body(request, dict[str, Any])
--- a/woadyard/registry/books.py
+++ b/woadyard/registry/books.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from woadyard.audit.ledger import AuditBook
+from woadyard.experiment.book import ExperimentsBook
 from woadyard.limits import LimitsBook
 from woadyard.lists import ListBook
 from woadyard.registry.book import Book
@@ -11,4 +12,4 @@
 
 def books() -> list[Book]:
     """Each empty; what the files hold is loaded into them."""
-    return [ListBook(), LimitsBook(), AuditBook(), Plans()]
+    return [ListBook(), LimitsBook(), AuditBook(), Plans(), ExperimentsBook()]
