--- a/woadyard/net/config.py
+++ b/woadyard/net/config.py
@@ -18,6 +18,7 @@
 from woadyard.wire import WireError, read_settings
 
 if TYPE_CHECKING:
+    from woadyard.audit import AuditSettings
     from woadyard.net.recorder import RecordSettings
 
 SOCKETS_DEFAULT = 1024
@@ -69,6 +70,7 @@
     locality: Locality | None = None
     shared: SharedSettings | None = None
     record: RecordSettings | None = None
+    audit: AuditSettings | None = None
     shrink_most: float = 1.0  # share of the list that may be lost at once and be believed
 
 
@@ -105,9 +107,11 @@
         discovery = str(environ.get("LB_DISCOVERY") or raw["discovery"])
         addresses(discovery)
         accept = environ.get("LB_ACCEPT_FD")
+        name = str(environ.get("LB_NAME") or raw.get("name") or "")
+        _check_named(raw, name)
         found = shared(raw)
         if found is not None:
-            _check_shared(found, str(environ.get("LB_NAME") or raw.get("name") or ""), raw)
+            _check_shared(found, raw)
         console = environ.get("LB_CONSOLE") or raw.get("console")
         return Config(
             path=path,
@@ -124,6 +128,7 @@
             log_level=log_level(raw),
             locality=locality(raw),
             shared=found,
+            audit=audit(raw),
             record=record(raw, bool(console)),
             shrink_most=shrink_most(raw),
         )
@@ -168,9 +173,15 @@
     return found
 
 
-def _check_shared(found: SharedSettings, name: str, raw: dict[str, Any]) -> None:
-    if not name:
-        raise ConfigError("shared needs a name of this sidecar's own", "set `name` in the file, or LB_NAME")
+def _check_named(raw: dict[str, Any], name: str) -> None:
+    """Others tell a sidecar by its name."""
+    for part in ("shared", "audit"):
+        if raw.get(part) and not name:
+            remedy = "set `name` in the file, or LB_NAME"
+            raise ConfigError(f"{part} needs a name of this sidecar's own", remedy)
+
+
+def _check_shared(found: SharedSettings, raw: dict[str, Any]) -> None:
     longest_us = max(float(entry["deadline-us"]) for entry in raw["settings"]["classes"])
     if found.limit and found.lease_s * 1e6 <= longest_us:
         # A share's last requests end before it is another's.
@@ -191,6 +202,17 @@
         raise ConfigError(str(error)) from None
 
 
+def audit(raw: dict[str, Any]) -> AuditSettings | None:
+    """Where what this sidecar acts on is reported; None where the file says nothing."""
+    if raw.get("audit") is None:
+        return None
+    from woadyard.audit.messages import read_settings as read_audit  # loaded only where it is on
+
+    found = read_audit(raw["audit"])
+    addresses(found.service)
+    return found
+
+
 def shrink_most(raw: dict[str, Any]) -> float:
     """The share of the endpoints, above 0 and up to 1, that lists may lose at once
     before they are held back; 1 (nothing is held) where the file says none."""
@@ -220,6 +242,7 @@
         log_level(raw)
         shrink_most(raw)
         shared(raw)
+        audit(raw)
         locality(raw)
         settings = raw["settings"]
         _has_all(settings, force["settings"], "settings.")
