--- a/woadyard/audit/run.py
+++ b/woadyard/audit/run.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec.structs import astuple
+
 from woadyard.audit.messages import Report, Row
 
 Stretch = tuple[int, int | None, Row | None]  # from, until (None: not known yet), the row or a gap
@@ -174,8 +176,8 @@
             for key in ("name", "run", "base", "heard", "heard_at", "number", "low", "open", "oldest",
                         "position", "final", "over_at", "state", "floor")
         }  # fmt: skip
-        rows = [[n, *_fields(row)] for n, row in [*self.rows.values(), *self.sums.values()]]
-        old = None if self.old is None else _fields(self.old)
+        rows = [(n, *astuple(row)) for n, row in [*self.rows.values(), *self.sums.values()]]
+        old = None if self.old is None else astuple(self.old)
         return {**plain, "taken": sorted(self.taken), "rows": rows, "old": old}
 
     @classmethod
@@ -191,7 +193,3 @@
             sums={row.k: (n, row) for n, row in rows if row.of > 1},
             old=old,
         )
-
-
-def _fields(row: Row) -> list[Any]:
-    return [getattr(row, name) for name in row.__struct_fields__]
