--- a/tests/test_arms.py
+++ b/tests/test_arms.py
@@ -58,7 +58,7 @@
 
 @pytest.mark.parametrize("changes", [{}, {"instances": 3}, {"zones": 2, "cross_zone_price": 0.01}])
 def test_choices_and_repeats_stay_in_the_arm(changes: dict[str, object]) -> None:
-    driver = Driver(balancer := playing(**changes))
+    driver = Driver(balancer := playing(8, TWO, **changes))
     went: dict[int, Counter[int]] = {0: Counter(), 1: Counter()}
     for k in range(400):
         event = ask(driver, now := k * 10 * MS, arm=k % 2)
--- a/woadyard/policy/admission.py
+++ b/woadyard/policy/admission.py
@@ -5,8 +5,8 @@
 from woadyard.interface import Arrival, Settings
 
 # The share of admitted requests answered within their aim below which fewer are let through (chance must
-# refuse nobody), and the least let through: the trial that shows recovery.
-ADMIT_GOOD, ADMIT_MIN = 0.85, 0.1
+# refuse nobody), the part still asked for when most is shed, and the least let through: the trial.
+ADMIT_GOOD, ADMIT_GOOD_PART, ADMIT_MIN = 0.85, 0.5, 0.1
 # Results within this multiple of what a request takes by now, as a decision's result comes that late, and so
 # many at least, are one look. One look of good results alone raises the share let through by this factor.
 ADMIT_MEMORY, ADMIT_SAMPLES, ADMIT_RISE = 2.0, 5, 2.0
@@ -44,7 +44,7 @@
         self.share = 1.0
 
     def note(self, now: int, took: int, good: bool, answered: bool) -> None:
-        """One admitted request's result; the steps balance at ADMIT_GOOD."""
+        """One admitted request's result; the steps balance at ADMIT_GOOD, at less the more is shed."""
         memory = ADMIT_MEMORY * self.took
         self.results = self.results * exp((self.at - now) / memory) + 1.0
         self.at = now
@@ -60,7 +60,8 @@
         if not good:
             if now - took <= self.bounded:
                 return  # taken before the bound last acted, which has answered it
-            step *= -ADMIT_GOOD / (1.0 - ADMIT_GOOD)
+            asked = ADMIT_GOOD * (ADMIT_GOOD_PART + (1.0 - ADMIT_GOOD_PART) * min(1.0, self.share))
+            step *= -asked / (1.0 - asked)
             if not answered:  # no mere heavy work: the room saved up is gone
                 self.share = min(1.0, self.share)
         self.share = min(ADMIT_ROOM, max(ADMIT_MIN, self.share * exp(step)))
--- a/woadyard/policy/balancer.py
+++ b/woadyard/policy/balancer.py
@@ -120,8 +120,9 @@
         request = self.requests.get(event.request) or self.ended.get(event.request)
         self.membership.ended(now, event.endpoint, outcome)
         if endpoint is not None:
-            self.ring.settle(endpoint)
-            endpoint.quiet_since = now
+            endpoint.inflight, endpoint.quiet_since = max(0, endpoint.inflight - 1), now
+            if not endpoint.ready and not endpoint.inflight:
+                del self.endpoints[endpoint.id]
             if outcome in BLAME:
                 self.health.blame(now, endpoint, outcome, request.sort if request else 0)
         if request is not None and event.copy < len(request.attempts):
--- a/woadyard/policy/health.py
+++ b/woadyard/policy/health.py
@@ -7,6 +7,7 @@
 from woadyard.policy.ring import Ring
 from woadyard.policy.state import LEARN_SAMPLES, Context, Endpoint
 
+LEARN_MEMORY, LEARN_GAIN_MAX = 2.0, 0.5  # in longest aims: an endpoint seldom drawn is judged afresh
 # What one failure leaves of an endpoint's health; fullness tells of load more than of a fault.
 BLAME = {ERROR: 0.4, FULL: 0.7, TIMEOUT: 0.2, NO_CONNECT: 0.5, RESET: 0.2}
 BLAME_OTHERS = 0.5  # power of what the other classes and tenants take for a failure of one
@@ -111,8 +112,10 @@
         usual.add(delay_us)
         self.ctx.latency.add(delay_us)
         ratio = min(delay_us / max(1.0, usual.mean), 8.0)
-        endpoint.samples += 1
-        gain = max(1.0 / LEARN_SAMPLES, 1.0 / (endpoint.samples + 3))
+        age = (now - endpoint.slowness_at) / (LEARN_MEMORY * self.ctx.longest_aim)
+        endpoint.slowness_at, endpoint.samples = now, endpoint.samples + 1
+        gain = max(1.0 / LEARN_SAMPLES, 1.0 / (endpoint.samples + 3), min(age, LEARN_GAIN_MAX))
+        gain = 0.25 if endpoint.samples == 1 else gain
         endpoint.slowness = max(0.1, endpoint.slowness + gain * (ratio - endpoint.slowness))
         if endpoint.slowness >= TOLD_SLOWNESS and endpoint.samples >= LEARN_SAMPLES:
             self.ctx.accuse(endpoint, DEGRADED)
--- a/woadyard/policy/ring.py
+++ b/woadyard/policy/ring.py
@@ -40,12 +40,6 @@
         del self.order[bisect_left(self.order, endpoint.key, key=lambda pair: pair[0])]
         return True
 
-    def settle(self, endpoint: Endpoint) -> None:
-        """Any ending of an attempt lowers the count."""
-        endpoint.inflight = max(0, endpoint.inflight - 1)
-        if not endpoint.ready and not endpoint.inflight:
-            self.endpoints.pop(endpoint.id, None)
-
     def cut(self) -> None:
         """Own arc of the shared order; left, right. Copies start evenly spaced and a group is a whole number
         of spacings long, so that every point lies in the left groups of equally many copies, and in the right
--- a/woadyard/policy/state.py
+++ b/woadyard/policy/state.py
@@ -36,7 +36,7 @@
 
     def renew(self, kinds: int) -> None:
         """What is learned of one process, with so many kinds of requests."""
-        self.slowness, self.samples = 1.0, 0  # observed latency over the peers' mean
+        self.slowness, self.slowness_at, self.samples = 1.0, 0, 0  # observed latency over the peers' mean
         # By class and tenant: health, when that was, failures in a row (halved by an answer).
         self.health = [(1.0, 0, 0.0)] * kinds
 
