--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -17,7 +17,7 @@
 
 ROOT = Path(__file__).parent.parent
 SAMPLE = """
-import asyncio
+import asyncio, os, signal
 from tests.conftest import lab
 
 async def test_sample(lab):
@@ -27,12 +27,14 @@
     print("pids", service.process.pid, sidecar.process.pid)
     {ending}
 """
+# Its time is up at once: the signal is the one that the limit comes with.
+HANG = "os.kill(os.getpid(), signal.SIGALRM); await asyncio.Event().wait()"
 
 
-@pytest.mark.parametrize("ending", ["assert False", "await asyncio.Event().wait()"], ids=["fails", "hangs"])
+@pytest.mark.parametrize("ending", ["assert False", HANG], ids=["fails", "hangs"])
 async def test_a_test_that_ends_midway_leaves_no_process(tmp_path: Path, ending: str) -> None:
     (tmp_path / "test_sample.py").write_text(SAMPLE.replace("{ending}", ending))
-    words = ["-c", "pyproject.toml", "-p", "no:cacheprovider", "--timeout", "6", str(tmp_path)]
+    words = ["-c", "pyproject.toml", "-p", "no:cacheprovider", str(tmp_path)]
     run = await asyncio.to_thread(
         subprocess.run, [sys.executable, "-m", "pytest", *words], cwd=ROOT, capture_output=True, text=True
     )
