--- a/benchmarks/whatif_cost.py
+++ b/benchmarks/whatif_cost.py
@@ -1,11 +1,9 @@
-"""What recording costs a sidecar: CPU time a request, with `record` and without.
+"""What recording costs a sidecar: CPU time a request, with it and without.
 
 Run from the project's root with the dev tools: `.venv-dev/bin/python -m benchmarks.whatif_cost`.
-Two sidecar processes of one build, one with `record` in its file, get the same load in turns;
-the CPU time that the system booked on each is divided by the requests it answered. Callers and
-the endpoint are another process's, so that their cost thins nothing out. Turns are short and
-their ratios' median is told, as other work on the machine shifts slowly. The recorder alone is
-timed too: its calls for one request of one attempt.
+One process of sidecar, endpoint and callers serves turns with the recorder and without; what the
+pairs differ by, at the median, is set against the CPU time that the system books on a sidecar's
+process for a request. The recorder alone is timed too: its calls for a request of one attempt.
 """
 
 from __future__ import annotations
@@ -23,10 +21,11 @@
 
 from tests.process import Process, config, free_port, ready, start
 from tests.sockets import Endpoint, Registry, read_message, request
+from tests.sockets import sidecar as in_process
 from woadyard.interface import OK, Arrival, Outcome, Send
 from woadyard.net.recorder import Recorder, RecordSettings
 
-REQUESTS, AT_ONCE, TURNS, ALONE = 1_000, 16, 40, 100_000
+REQUESTS, AT_ONCE, TURNS, ALONE = 500, 16, 60, 100_000
 IDS = count()
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -82,40 +81,52 @@
     return process, port
 
 
-async def main() -> None:
-    endpoint, registry = Endpoint(), Registry()
+async def one_sidecar() -> tuple[float, dict[str, Any]]:
+    """CPU µs a request of a sidecar's process without `record`, and memory with and without."""
+    endpoint, registry, memory = Endpoint(), Registry(), {}
     with TemporaryDirectory() as name:
         async with await endpoint.start(), await registry.start():
-            kinds: dict[str, dict[str, Any]] = {"off": {}, "all": {"record": {}}}
-            found: dict[str, list[float]] = {kind: [] for kind in kinds}
-            running = {}
-            for kind, changes in kinds.items():
-                running[kind] = await sidecar(Path(name) / kind, registry, endpoint, **changes)
-            rss = {kind: _rss_kb(process.pid) for kind, (process, _) in running.items()}
-            for turn in range(TURNS + 1):
-                for kind in random.Random(turn).sample(list(kinds), len(kinds)):
-                    process, port = running[kind]
-                    endpoint.got.clear()
-                    before = cpu_s(process.pid)
-                    await load(port, REQUESTS)
-                    if turn:  # the first warms up
-                        found[kind].append((cpu_s(process.pid) - before) / REQUESTS * 1e6)
-            after = {kind: _rss_kb(process.pid) for kind, (process, _) in running.items()}
-            for process, _ in running.values():
+            for kind, changes in (("record", {"record": {}}), ("off", {})):
+                process, port = await sidecar(Path(name) / kind, registry, endpoint, **changes)
+                memory[f"rss_kb_{kind}"] = _rss_kb(process.pid)
+                await load(port, REQUESTS)
+                before = cpu_s(process.pid)
+                await load(port, 4 * REQUESTS)
+                took = (cpu_s(process.pid) - before) / (4 * REQUESTS) * 1e6
+                memory[f"rss_kb_{kind}_after"] = _rss_kb(process.pid)
                 process.terminate()
                 await process.wait()
-    for kind, each in found.items():
-        ratios = [one / off - 1 for one, off in zip(each, found["off"], strict=True)]
-        told = {
-            "record": kind, "cpu_us_a_request": round(statistics.median(each), 2),
-            "over_off_median": round(statistics.median(ratios), 4),
-            "quartiles": [round(one, 3) for one in statistics.quantiles(ratios, n=4)] if any(ratios) else [],
-            "rss_kb_at_start": rss[kind], "rss_kb_at_end": after[kind],
-        }  # fmt: skip
-        print(json.dumps(told))
-    for sample in (1.0, 0.1):
-        least = min(alone(sample) for _ in range(3))
-        print(json.dumps({"recorder_alone_us_a_request": round(least, 2), "sample": sample}))
+    return took, memory
+
+
+async def in_turns() -> list[float]:
+    """What recording adds to a request, CPU µs, in each pair of turns of one process."""
+    recorder, added = Recorder(RecordSettings(), "s", 1, 0), []
+    async with in_process(Endpoint()) as one:
+        await load(one.port, REQUESTS)
+        for turn in range(TURNS):
+            took: dict[bool, float] = {}
+            for on in random.Random(turn).sample((False, True), 2):
+                one.driver.observer = recorder if on else None
+                before = time.process_time()
+                await load(one.port, REQUESTS)
+                took[on] = (time.process_time() - before) / REQUESTS * 1e6
+            added.append(took[True] - took[False])
+    return added
+
+
+async def main() -> None:
+    base, memory = await one_sidecar()
+    added = await in_turns()
+    low, middle, high = statistics.quantiles(added, n=4)
+    told = {
+        "sidecar_us_a_request": round(base, 1), "recording_adds_us": round(middle, 2),
+        "quartiles_us": [round(low, 2), round(high, 2)], "ratio": round(middle / base, 4), **memory,
+        "recorder_alone_us": round(min(alone(1.0) for _ in range(3)), 2),
+        "recorder_alone_a_tenth_us": round(min(alone(0.1) for _ in range(3)), 2),
+        "load_1min": os.getloadavg()[0],
+    }  # fmt: skip
+    print(json.dumps(told))
 
 
 def _rss_kb(pid: int) -> int:
