--- a/benchmarks/whatif_cost.py
+++ b/benchmarks/whatif_cost.py
@@ -8,25 +8,23 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import os
 import random
 import statistics
 import time
-from itertools import count
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
 
+from benchmarks.metrics_cost import load
 from tests.process import Process, config, free_port, ready, start
-from tests.sockets import Endpoint, Registry, read_message, request
+from tests.sockets import Endpoint, Registry
 from tests.sockets import sidecar as in_process
 from woadyard.interface import OK, Arrival, Outcome, Send
 from woadyard.net.recorder import Recorder, RecordSettings
 
-REQUESTS, AT_ONCE, TURNS, ALONE = 500, 16, 60, 100_000
-IDS = count()
+REQUESTS, TURNS, ALONE = 500, 60, 100_000
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -39,20 +37,6 @@
         return (int(fields[11]) + int(fields[12])) / TICKS
 
 
-async def load(port: int, requests: int) -> None:
-    todo = list(range(requests))
-
-    async def caller() -> None:
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        while todo:
-            todo.pop()
-            writer.write(request(rid=f"r{next(IDS)}"))
-            await read_message(reader)
-        writer.close()
-
-    await asyncio.gather(*(caller() for _ in range(AT_ONCE)))
-
-
 def alone(sample: float) -> float:
     """CPU µs of the recorder's calls for one request, without a sidecar around."""
     made = Recorder(RecordSettings(sample=sample), "s", 1, 0)
