--- a/benchmarks/audit.py
+++ b/benchmarks/audit.py
@@ -24,7 +24,8 @@
 import msgspec
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
-from benchmarks.whatif_cost import REQUESTS, TURNS, cpu_s, load, sidecar
+from benchmarks.metrics_cost import load
+from benchmarks.whatif_cost import REQUESTS, TURNS, cpu_s, sidecar
 from tests.process import free_port
 from tests.sockets import Endpoint, Registry
 from tests.test_registry import register, service
--- a/benchmarks/whatif_cost.py
+++ b/benchmarks/whatif_cost.py
@@ -70,7 +70,8 @@
     endpoint, registry, memory = Endpoint(), Registry(), {}
     with TemporaryDirectory() as name:
         async with await endpoint.start(), await registry.start():
-            for kind, changes in (("record", {"record": {}}), ("off", {})):
+            parts: dict[str, dict[str, Any]] = {"record": {"record": {}}, "off": {}}
+            for kind, changes in parts.items():
                 process, port = await sidecar(Path(name) / kind, registry, endpoint, **changes)
                 memory[f"rss_kb_{kind}"] = _rss_kb(process.pid)
                 await load(port, REQUESTS)
