--- a/woadyard/audit/run.py
+++ b/woadyard/audit/run.py
@@ -52,6 +52,8 @@
         self.low = max(self.low, report.low)
         self.taken = {n for n in (*self.taken, report.n) if n >= self.low}
         for row in report.rows:
+            if row.of == 1 and not row.position:
+                row.position = report.position
             self._row(report.n, row)
         if report.final:
             self.final = report.now
--- a/woadyard/audit/spans.py
+++ b/woadyard/audit/spans.py
@@ -134,8 +134,10 @@
 
     def _row(self, one: Span) -> Row:
         ends = [self._ms(at) if at >= 0 else -1 for at in (one.until, one.first, one.last)]
+        # The open span's position is the report's: it need not be told twice.
+        position = "" if one is self.open else one.position
         return Row(
-            one.k, one.position, self._ms(one.since), ends[0], one.attempts, one.refusals, one.unsent,
+            one.k, position, self._ms(one.since), ends[0], one.attempts, one.refusals, one.unsent,
             ends[1], ends[2], one.of,
         )  # fmt: skip
 
