Tie experiments to the reports, the sidecars' choice and the list service's calls

Need: the experiments' book, statistics and conductor, and the sidecar's pure parts, were not reached by any running program.

Change: calls at /registry/experiments; evidence comes out of the audit's reports into the book in the same batch, and the directive goes with the audit's answers. The sidecar tells the module the split, counts by the arm that the module draws, and sends all to control after `hold_ms` without a word. Without `audit` in the file, or with no experiment started, nothing of it runs; the conductor runs only while there is an experiment to see to.

--- a/tests/test_experiment_book.py
+++ b/tests/test_experiment_book.py
@@ -87,7 +87,7 @@
     """A sidecar's reports over some seconds: requests of each arm by second, one report each."""
     aim = RequestClass(aim_us=100_000, deadline_us=200_000)
     arms = {number: arm for number, arm in enumerate([0, 1] * 2000)}
-    counts = EvidenceCounts(arms.get, "z1")
+    counts = EvidenceCounts(lambda event: arms[event.request], "z1")
     counts.retuned(0, Settings((aim,)), {})
     book = running()
     counts.follow(book.directive())
--- a/tests/test_experiment_sidecar.py
+++ b/tests/test_experiment_sidecar.py
@@ -22,7 +22,7 @@
 
 
 def began() -> tuple[Trials, list[Directive | None]]:
-    counts = EvidenceCounts(lambda request: request % 2)
+    counts = EvidenceCounts(lambda event: event.request % 2)
     counts.retuned(0, Settings((RequestClass(aim_us=100_000, deadline_us=S),)), {})
     splits: list[Directive | None] = []
     return Trials(counts, splits.append, 0), splits
--- a/woadyard/experiment/conductor.py
+++ b/woadyard/experiment/conductor.py
@@ -92,8 +92,8 @@
         return self.registry.book(ExperimentsBook)
 
     def wake(self) -> None:
-        """There may be an experiment to see to."""
-        if self.task is None or self.task.done():
+        """There may be an experiment to see to; with none, nothing runs here."""
+        if self._sees_to() and (self.task is None or self.task.done()):
             self.task = asyncio.get_running_loop().create_task(self._run())
 
     async def close(self) -> None:
@@ -103,13 +103,15 @@
                 await self.task
 
     async def _run(self) -> None:
-        while True:
-            trial = self.book.active
-            if trial is None or trial.state is State.APPLIED or not self.registry.leads:
-                self.look = None
-            else:
-                self.step(trial)
+        while (trial := self._sees_to()) is not None:
+            self.step(trial)
             await asyncio.sleep(LOOK_S)
+        self.look = None
+
+    def _sees_to(self) -> Trial | None:
+        trial = self.book.active
+        done = trial is None or trial.state is State.APPLIED or not self.registry.leads
+        return None if done else trial
 
     def step(self, trial: Trial) -> None:
         """One look, or one look at who acts on the decision."""
--- a/woadyard/net/auditing.py
+++ b/woadyard/net/auditing.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Collection
+from typing import Any
 
 import msgspec
 
@@ -10,10 +12,16 @@
 from woadyard.audit import AuditSettings
 from woadyard.audit.position import token
 from woadyard.errors import PeerError
+from woadyard.interface import Split
+from woadyard.net.arms import Arms
 from woadyard.net.discovery import LISTS, Discovery
 from woadyard.net.driver import Driver
+from woadyard.net.evidence import EvidenceCounts
 from woadyard.net.reporter import Orders, Reporter
 from woadyard.net.server import Server
+from woadyard.net.trials import Trials
+
+LOOK_S = 0.25  # at whether an experiment holds
 
 
 def reporter_of(
@@ -32,10 +40,44 @@
         server.shut_out = out
 
     orders = Orders(listed, discovery.again, shut_out, driver.distrust)
+    trials = trials_of(driver, orders)
     # Not the seed's chance: processes of one file must not report in step.
     reporter = Reporter(
         settings, name, token(woadyard.__version__), lambda: discovery.telling, orders, random.Random()
     )
     driver.observe(reporter)
+    trials.held = lambda: reporter.experiment(0)
     driver.attempts.unsent = reporter.unsent
     return reporter
+
+
+def trials_of(driver: Driver, orders: Orders) -> Trials:
+    """Experiments go by the audit's reports and answers; with none of them nothing is split."""
+
+    def tell(split: Split | None) -> None:
+        driver.tell(driver.balancer.split, split)
+
+    arms = Arms(tell)
+    counts = EvidenceCounts(arms.assigned, lists=arms.listed)
+    trials = Trials(counts, arms.follow, driver.now())
+
+    def look() -> None:
+        trials.look(driver.now())
+        if trials.due() is not None:
+            driver.loop.call_later(LOOK_S, look)
+
+    def follow(told: Any) -> int:
+        looks = trials.due() is not None
+        revision = trials.follow(told, driver.now())
+        if not looks:
+            look()
+        return revision
+
+    def acked(numbers: Collection[int]) -> None:
+        trials.heard(driver.now())
+        counts.acked(numbers)
+
+    orders.experiment, orders.acked = follow, acked
+    orders.evidence = lambda: counts.report(driver.now())
+    driver.observe(counts)
+    return trials
--- a/woadyard/net/evidence.py
+++ b/woadyard/net/evidence.py
@@ -16,8 +16,9 @@
 from woadyard.interface import Arrival, Outcome, Send, Settings
 
 FAILED = 500  # this status and those above
-# The arm (its index) that a request was assigned to, as the module drew it; None: none was.
-Assigned = Callable[[int], int | None]
+# The arm (its index) that a request is assigned to, as the module draws it; None: none.
+Assigned = Callable[[Arrival], int | None]
+Lists = Callable[[int, list[dict[str, Any]]], None]
 
 
 @dataclass(slots=True)
@@ -46,8 +47,8 @@
     """An observer of the driver. `report` is called once for each report of the audit, which are
     numbered from 1, and `acked` with the numbers that the service has for good."""
 
-    def __init__(self, assigned: Assigned, zone: str = "") -> None:
-        self.assigned, self.zone = assigned, zone
+    def __init__(self, assigned: Assigned, zone: str = "", lists: Lists = lambda mode, raw: None) -> None:
+        self.assigned, self.zone, self.lists = assigned, zone, lists
         self.directive: Directive | None = None  # None: nothing is counted
         self.settings: Settings | None = None
         self.cells: dict[tuple[int, int, int, int], Cell] = {}  # by revision, slot, arm, class
@@ -63,7 +64,7 @@
 
     def taken(self, now: int, event: Arrival) -> None:
         told = self.directive
-        if told is None or (arm := self.assigned(event.request)) is None:
+        if told is None or (arm := self.assigned(event)) is None:
             return
         key = told.revision, now // (told.slot_ms * 1000), arm, event.cls
         cell = self._cell(key, told)
@@ -109,7 +110,7 @@
         pass
 
     def listed(self, now: int, mode: int, version: int, raw: list[dict[str, Any]]) -> None:
-        pass
+        self.lists(mode, raw)
 
     def retuned(self, now: int, settings: Settings, raw: dict[str, Any]) -> None:
         self.settings = settings
--- a/woadyard/net/reporter.py
+++ b/woadyard/net/reporter.py
@@ -103,6 +103,10 @@
     def retuned(self, now: int, settings: Settings, raw: dict[str, Any]) -> None:
         self._act(now, settings=digest(raw))
 
+    def experiment(self, revision: int) -> None:
+        """Acted on from now on; 0: none, and the next answer brings what there is."""
+        self._act(now_us(), experiment=revision)
+
     def _act(self, now: int, **changes: Any) -> None:
         self.position = msgspec.structs.replace(self.position, **changes)
         if self.spans.act(now, self.position):
@@ -189,7 +193,7 @@
 
     def _experiment(self, answer: Answer) -> None:
         if answer.experiment is not None:
-            self._act(now_us(), experiment=self.orders.experiment(answer.experiment))
+            self.experiment(self.orders.experiment(answer.experiment))
 
     def _shut(self, out: bool) -> None:
         if out != self.out:
--- a/woadyard/net/requests.py
+++ b/woadyard/net/requests.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+from xxhash import xxh3_64_intdigest
+
 from woadyard.interface import CANCELLED, NO_CONNECT, TIMEOUT, Arrival
 from woadyard.net.message import Answer, Attempt, Call
 from woadyard.net.sharing import Shared
@@ -28,9 +30,11 @@
         if not loading:
             call.timer = self.turns.at(call.expires, self._expire, call)
         home = self.shared.affinity.home(call.affinity) if self.shared and call.affinity else None
+        affinity = xxh3_64_intdigest(call.affinity) if call.affinity else 0
         event = Arrival(
-            call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated, home, loading
-        )
+            call.id, call.cls, call.expires, call.tenant, call.key, call.work_us, call.repeated, home,
+            loading, affinity,
+        )  # fmt: skip
         if (observer := self.turns.observer) is not None:
             observer.taken(call.taken, event)
         self.turns.tell(self.turns.balancer.request, event, call=call)
--- a/woadyard/net/trials.py
+++ b/woadyard/net/trials.py
@@ -27,6 +27,7 @@
         self.directive: Directive | None = None
         self.revision = 0
         self.heard_at = now
+        self.held: Callable[[], None] = lambda: None  # it begins to hold
 
     def follow(self, raw: Any, now: int) -> int:
         """A directive of the service; PeerError, and nothing changed, where it is none."""
@@ -54,6 +55,7 @@
             return False
         self._act(msgspec.structs.replace(self.directive, serve=self.directive.control))
         self.revision = 0
+        self.held()
         return True
 
     def _act(self, directive: Directive | None) -> None:
--- a/woadyard/registry/routes.py
+++ b/woadyard/registry/routes.py
@@ -9,13 +9,21 @@
 from aiohttp import web
 
 from woadyard.audit import service as audit
+from woadyard.experiment import service as experiments
 from woadyard.limits import service as limits
 from woadyard.lists import service as lists
 from woadyard.registry import replication
 from woadyard.registry.service import Registry
 from woadyard.whatif import service as plans
 
-PARTS = (lists.routes, limits.routes, audit.routes, plans.routes, replication.routes)
+PARTS = (
+    lists.routes,
+    limits.routes,
+    audit.routes,
+    plans.routes,
+    experiments.routes,
+    replication.routes,
+)
 
 
 def routes(registry: Registry) -> list[web.RouteDef]:
