--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, ParamSpec
 
 import uvloop
 
@@ -84,6 +85,26 @@
         await asyncio.sleep(0)
 
 
+P = ParamSpec("P")
+
+
+def on_loop(test: Callable[P, Coroutine[Any, Any, None]]) -> Callable[P, None]:
+    """A test that is a coroutine, run as `run` does."""
+
+    @functools.wraps(test)
+    def inner(*args: P.args, **kwargs: P.kwargs) -> None:
+        run(test(*args, **kwargs))
+
+    return inner
+
+
+def chunks(data: bytes, size: int, extension: bytes = b"", trailer: bytes = b"") -> bytes:
+    parts = [data[at : at + size] for at in range(0, len(data), size)]
+    return (
+        b"".join(b"%x%b\r\n%b\r\n" % (len(one), extension, one) for one in parts) + b"0\r\n%b\r\n" % trailer
+    )
+
+
 Handler = Callable[["Endpoint", Message, Writer], Awaitable[None]]
 
 
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,252 @@
+"""Attempts at endpoints over loopback sockets: one outcome each, and none too late."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import replace
+
+import pytest
+
+from tests.sockets import (
+    Endpoint,
+    Handler,
+    Message,
+    Writer,
+    answer,
+    on_loop,
+    outcomes,
+    request,
+    serve_ok,
+    sidecar,
+)
+from woadyard.interface import (
+    CANCELLED,
+    ERROR,
+    FULL,
+    MOOT,
+    NO_CONNECT,
+    OK,
+    RESET,
+    TIMEOUT,
+    Action,
+    Refuse,
+)
+from woadyard.net.link import Link
+
+
+def address(bound: socket.socket) -> str:
+    host, port = bound.getsockname()
+    return f"{host}:{port}"
+
+
+async def hold(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+    """No answer, until the connection closes."""
+
+
+async def no_answer_then_close(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+    writer.close()
+
+
+async def cut_off(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+    writer.close()
+
+
+async def nonsense(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+    writer.write(b"what?\r\n\r\n")
+
+
+def status(code: int, headers: str = "") -> Handler:
+    async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(answer(code, headers=headers))
+
+    return reply
+
+
+@pytest.mark.parametrize(
+    ("handler", "expected", "final"),
+    [
+        (serve_ok, OK, 200),
+        (no_answer_then_close, RESET, 502),
+        (cut_off, RESET, 502),
+        (nonsense, RESET, 502),
+        (status(500), ERROR, 502),
+        (status(503), ERROR, 502),
+        (status(404), ERROR, 502),
+        (status(503, "X-Not-Run: 1\r\n"), FULL, 503),
+        (status(504, "X-Not-Run: 1\r\n"), FULL, 503),
+    ],
+)
+@on_loop
+async def test_one_outcome_for_each_attempt(handler: Handler, expected: int, final: int) -> None:
+    """An unsafe request: refused only when it is sure that it never ran."""
+    endpoint = Endpoint(handler)
+    async with sidecar(endpoint, ceilings={"max-attempts": 1}) as one:
+        told = outcomes(one)
+        back = await one.ask(request("pay", b"sum"))
+        assert [event.outcome for event in told] == [expected]
+        assert back.start.split()[1] == str(final)
+        assert len(endpoint.got) == 1
+        assert not one.driver.calls
+
+
+@pytest.mark.parametrize("extra", [answer(body=b"more"), answer(500), b"HTTP", b"nonsense"])
+@on_loop
+async def test_what_follows_an_answer_unasked_is_no_part_of_it(extra: bytes) -> None:
+    async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(answer() + extra)
+
+    endpoint = Endpoint(reply)
+    async with sidecar(endpoint) as one:
+        for n in range(2):
+            back = await one.ask(request("pay", rid=f"r{n}"))
+            assert back.start.split()[1] == "200" and back.body == b"ok"
+            await endpoint.closed.acquire()  # nothing more is sent on it
+        assert endpoint.opened == len(endpoint.got) == 2
+
+
+@on_loop
+async def test_a_refused_connection_never_ran() -> None:
+    endpoint = Endpoint()
+    async with sidecar(endpoint, ceilings={"max-attempts": 1}) as one:
+        with socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))
+            one.told(endpoint.entry("s-0", hostPort=address(closed)))
+            told = outcomes(one)
+            back = await one.ask(request("pay"))
+        assert [event.outcome for event in told] == [NO_CONNECT]
+        assert back.start.split()[1] == "503" and not one.upstream.links
+
+
+@on_loop
+async def test_a_connection_that_breaks_before_the_last_byte_is_written_never_ran() -> None:
+    """The endpoint reads nothing and its window is small, so the rest of the
+    body waits in the sidecar when the connection is reset."""
+    loop = asyncio.get_running_loop()
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        endpoint = Endpoint()
+        async with sidecar(endpoint, ceilings={"max-attempts": 1}) as one:
+            one.told(endpoint.entry("s-0", hostPort=address(listener)))
+            told = outcomes(one)
+            attempts = one.upstream.links
+            asked = asyncio.create_task(one.ask(request("pay", b"x")))
+            peer, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(peer, 4096)
+            (link,) = attempts
+            link.pause_writing()  # as the loop tells it of bytes left over
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            peer.close()
+            assert (await asked).start.split()[1] == "503"
+            assert [event.outcome for event in told] == [NO_CONNECT]
+
+
+@on_loop
+async def test_at_the_deadline_the_module_hears_timeout_and_answers() -> None:
+    endpoint = Endpoint(hold)
+    async with sidecar(endpoint) as one:
+        told = outcomes(one)
+        asked = one.driver.now()
+        back = await one.ask(request("pay", deadline_ms=80))
+        assert one.driver.now() - asked >= 80_000, "never early"
+        assert back.start.split()[1] == "504"
+        assert [(event.outcome, event.over) for event in told] == [(TIMEOUT, False)]
+        await endpoint.closed.acquire()  # giving up closes the connection
+
+
+@on_loop
+async def test_a_request_that_no_endpoint_takes_is_refused_in_time() -> None:
+    async with sidecar(known=False, ceilings={"max-retry-after-us": 2_000_000}) as one:
+        back = await one.ask(request(deadline_ms=100))
+        assert back.start.split()[1] == "503"
+        assert back.headers["retry-after"] == "0.040", "a 50th of the aim, as the module waits itself"
+        assert not one.driver.calls and not one.driver.balancer.requests
+
+
+@on_loop
+async def test_a_refusal_tells_when_to_come_back() -> None:
+    async with sidecar(Endpoint()) as one:
+        vars(one.driver.balancer)["request"] = lambda now, event: [Refuse(event.request, 1_250_000)]
+        back = await one.ask(request())
+        assert back.start.split()[1] == "503" and back.headers["retry-after"] == "1.250"
+
+
+@on_loop
+async def test_a_fault_of_the_module_is_answered_and_survived(caplog: pytest.LogCaptureFixture) -> None:
+    async with sidecar(Endpoint()) as one:
+        real = one.driver.balancer.request
+
+        def broken(now: int, event: object) -> list[Action]:
+            raise RuntimeError("broken")
+
+        vars(one.driver.balancer)["request"] = broken
+        assert (await one.ask(request())).start.split()[1] == "500"
+        vars(one.driver.balancer)["request"] = real
+        assert (await one.ask(request(rid="r2"))).body == b"ok"
+    assert "RuntimeError: broken" in caplog.text
+
+
+@on_loop
+async def test_the_client_that_leaves_calls_its_attempt_off() -> None:
+    endpoint = Endpoint(hold)
+    async with sidecar(endpoint) as one:
+        told = outcomes(one)
+        _, writer = await one.connect()
+        writer.write(request("pay"))
+        await endpoint.arrived.acquire()
+        writer.close()
+        await endpoint.closed.acquire()
+        assert [(event.outcome, event.over) for event in told] == [(CANCELLED, True)]
+        assert not one.driver.calls and not one.driver.balancer.requests
+
+
+@on_loop
+async def test_nothing_starts_past_the_drain_grace_the_deadline_or_the_answer() -> None:
+    """Guards a slow connect: the driver is asked at the moment of writing."""
+    endpoint = Endpoint(hold)
+    async with sidecar(endpoint) as one:
+        told = outcomes(one)
+        asked = asyncio.create_task(one.ask(request("pay", deadline_ms=4000)))
+        await endpoint.arrived.acquire()
+        ((_, call),) = one.driver.calls.items()
+        (attempt,) = call.attempts
+        place = one.driver.places[attempt.endpoint]
+        now = one.driver.now()
+        assert one.driver.attempts.may_start(attempt, now)
+        assert not one.driver.attempts.may_start(attempt, call.expires)
+        place.left_at = now - 499_000
+        assert one.driver.attempts.may_start(attempt, now)
+        place.left_at = now - 500_000
+        assert not one.driver.attempts.may_start(attempt, now)
+        link = attempt.link
+        assert isinstance(link, Link)
+        link.write()  # as a connect that took so long would
+        assert [event.outcome for event in told] == [MOOT] and len(endpoint.got) == 1
+        asked.cancel()
+
+
+@on_loop
+async def test_an_attempt_past_the_most_is_not_sent() -> None:
+    endpoints = [Endpoint(status(503, "X-Not-Run: 1\r\n")) for _ in range(4)]
+    async with sidecar(*endpoints) as one:
+        force = one.driver.force
+        force.settings = replace(force.settings, max_attempts=2)
+        told = outcomes(one)
+        await one.ask(request("pay"))
+        assert sum(len(endpoint.got) for endpoint in endpoints) == 2
+        assert [event.outcome for event in told][:3] == [FULL, FULL, MOOT]
+
+
+@on_loop
+async def test_timers_never_fire_early() -> None:
+    async with sidecar() as one:
+        fired: asyncio.Queue[int] = asyncio.Queue()
+        for delay in (1, 400, 1_499, 2_501, 7_777):
+            due = one.driver.now() + delay
+            one.driver.turns.at(due, lambda due: fired.put_nowait(one.driver.now() - due), due)
+        for _ in range(5):
+            assert await fired.get() >= 0
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,136 @@
+"""Connections to endpoints: kept, reused, bounded."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.sockets import (
+    Endpoint,
+    Message,
+    Writer,
+    answer,
+    on_loop,
+    outcomes,
+    read_message,
+    request,
+    sidecar,
+)
+from woadyard.interface import (
+    MOOT,
+    OK,
+)
+from woadyard.net.state import endpoint_number
+
+
+@on_loop
+async def test_a_request_passes_and_its_answer_comes_back_whole() -> None:
+    async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(
+            answer(body=b"x" * 60_000, headers="Content-Type: image/png\r\nX-Load: queue=2,qps=9\r\n")
+        )
+
+    endpoint = Endpoint(reply)
+    async with sidecar(endpoint) as one:
+        told = outcomes(one)
+        back = await one.ask(request("put", b"b" * 50_000, "X-Other: 1\r\nConnection: X-Other\r\n"))
+        assert back.start.startswith("HTTP/1.1 200") and back.body == b"x" * 60_000
+        assert back.headers["content-type"] == "image/png"
+        (got,) = endpoint.got
+        assert got.start == "POST /put?obj=7f3a HTTP/1.1" and got.body == b"b" * 50_000
+        assert got.headers["x-request-id"] == "r1" and got.headers["idempotency-key"] == "k1"
+        assert 0 < int(got.headers["x-deadline-ms"]) <= 4000
+        assert "x-other" not in got.headers, "named by Connection: it ends here"
+        assert [event.report for event in told] == [[2.0, 9.0]], "in the settings' order"
+
+
+@pytest.mark.parametrize("cls", ["page", "pay"])
+@on_loop
+async def test_connections_are_kept_on_both_sides(cls: str) -> None:
+    endpoint = Endpoint()
+    async with sidecar(endpoint) as one:
+        reader, writer = await one.connect()
+        for n in range(5):
+            writer.write(request(cls, rid=f"r{n}"))
+            assert (await read_message(reader)).body == b"ok"
+        assert endpoint.opened == 1 and len(one.server.callers) == 1
+        assert not one.driver.calls and not one.driver.balancer.requests
+
+
+@on_loop
+async def test_the_latest_used_connection_is_reused_and_the_idle_are_dropped() -> None:
+    gates = {"r1": asyncio.Event(), "r2": asyncio.Event()}
+    served: list[tuple[str, int]] = []
+
+    async def gated(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        rid = message.headers["x-request-id"]
+        if rid in gates:
+            await gates[rid].wait()
+        served.append((rid, writer.get_extra_info("peername")[1]))
+        writer.write(answer())
+
+    endpoint = Endpoint(gated)
+    async with sidecar(endpoint, ceilings={"conn-idle-us": 30_000_000}) as one:
+        asked = []
+        for rid in gates:
+            asked.append(asyncio.create_task(one.ask(request(rid=rid))))
+            await endpoint.arrived.acquire()
+        for gate, task in zip(gates.values(), asked, strict=True):
+            gate.set()
+            await task
+        await one.ask(request(rid="r3"))
+        ports = dict(served)
+        assert ports["r3"] == ports["r2"] != ports["r1"]
+        assert one.upstream.idle_s <= 24.0, "well before the endpoint's idle time"
+        (pool,) = one.upstream.pools.values()
+        pool.idle[0].idle_since -= 24.0
+        one.upstream._sweep()
+        await endpoint.closed.acquire()
+        assert len(one.upstream.links) == 1
+
+
+@on_loop
+async def test_an_idle_connection_that_the_endpoint_closes_is_not_used() -> None:
+    async def once(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(answer())
+        writer.close()
+
+    endpoint = Endpoint(once)
+    async with sidecar(endpoint) as one:
+        told = outcomes(one)
+        for n in range(3):
+            await one.ask(request("pay", rid=f"r{n}"))
+            while one.upstream.links:
+                await asyncio.sleep(0)
+        assert [event.outcome for event in told] == [OK, OK, OK]
+
+
+@on_loop
+async def test_open_connections_stay_within_their_limit() -> None:
+    first, second = Endpoint(), Endpoint()
+    async with sidecar(first, second) as one:
+        one.upstream.most = 1
+        one.told(first.entry("s-0"))
+        await one.ask(request())
+        one.told(first.entry("s-0"), second.entry("s-1"))
+        assert one.upstream.pools[endpoint_number("s-0")].idle
+        one.told(second.entry("s-1", lifecycle="ready"), whole=False)
+        vars(one.driver.balancer)["_pick"] = lambda now, req: one.driver.balancer.endpoints[
+            endpoint_number("s-1")
+        ]
+        assert (await one.ask(request(rid="r2"))).body == b"ok"
+        await first.closed.acquire()  # the longest idle made room
+        assert len(one.upstream.links) == 1
+
+
+@on_loop
+async def test_want_of_a_socket_is_no_fault_of_the_endpoint() -> None:
+    endpoint = Endpoint()
+    async with sidecar(endpoint, ceilings={"max-attempts": 1}) as one:
+        told = outcomes(one)
+        one.upstream.most = 0
+        assert (await one.ask(request("pay"))).start.split()[1] == "503"
+        assert [event.outcome for event in told] == [MOOT] and not endpoint.got
+        (known,) = one.driver.balancer.endpoints.values()
+        assert all(health == 1.0 for health, _, _ in known.health)
