Count the time after SIGTERM by the classes in force, not by those of before a reload

After SIGTERM everything is to be answered before SIGKILL, which comes the longest deadline and 0.7 s later. `Server.stop` took that deadline from `settings.classes`. `InForce.settle` keeps every class there ever was in it, as calls under way keep theirs: a class that a reload took away, or changed, still counted. With a deadline of 5 s before the reload and 0.3 s after it answers were due 3.4 s after SIGTERM, and SIGKILL may come after 1.0 s.

The longest deadline is that of the names in force now. `Driver.longest_us` counts all of them on purpose, for a lease: calls under way may run for so long; left as it is.

--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -164,7 +164,9 @@
             return
         self.stopping, self.on_end = True, on_end
         driver, loop = self.driver, self.driver.loop
-        deadline_s = max(one.deadline_us for one in driver.settings.classes) / 1e6
+        # Of the classes in force: those of before a reload put SIGKILL off no more.
+        force, classes = driver.names.classes.values(), driver.settings.classes
+        deadline_s = max(classes[number].deadline_us for number in force) / 1e6
         answered_s = min(DEADLINE_MOST_S, deadline_s) + KILL_S - ANSWERED_S
         self.answered_by = driver.now() + round(answered_s * 1e6)
         if self.shared:
