End in time after SIGTERM however many new connections come

`Server._stop_listening` put itself off by 0.15 s with each new connection, without a bound, and connections that came after `_close_resting` had run once were closed by nobody. Under a steady stream, one connection each 10 ms, a real process with deadlines of 0.3 s was still there 10 s after SIGTERM; SIGKILL may come after 1.0 s, and finds whatever was taken last.

When connections are kept no longer the listener is closed too, at the latest, and those at rest after it, one turn of the loop later. New connections come for 0.4 s after SIGTERM; that is 0.55 s after it or later, so none that is owed anything is shut out.

--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -177,8 +177,10 @@
         loop.call_later(max(ACCEPT_S + LAST_S, answered_s - ANSWER_S), self._stop_keeping)
 
     def _stop_keeping(self) -> None:
-        """What has come by now is read before those at rest are closed under it."""
+        """What has come by now is read before those at rest are closed under it. Nobody
+        comes any more, however many did to the last: they would hold up the end."""
         self.closing = True
+        self._close_listener()
         self.driver.loop.call_later(READ_S, self._close_resting)
 
     def _close_resting(self) -> None:
@@ -202,7 +204,8 @@
         self._close_listener()
 
     def _close_listener(self) -> None:
-        assert self.listener is not None
+        if self.listener is None:
+            return
         self.listener.close()
         self.listener = None
         if not self.callers:
