Bound how long an asking sidecar waits between failed calls to discovery

Cause: the module waits parts of the settings' `ask-within-us` before it asks again (`Membership.ask`, `listed`: 0.1, 0.2, 0.4 of it, and 0.25 before the first ask). With the 10 s that sites have a silent watch and two failed calls took up to 9.5 s to mend, with 60 s up to 44 s; a new process with 60 s asked first after up to 15 s. What discovery has counts as told after 6 s, whatever became of the calls between.

On sockets the period in force is now at most 3 s (`InForce.settle`), so the longest waits are 0.3, 0.6, 1.2 s and 0.75 s at the start, full jitter kept.

--- /dev/null
+++ b/tests/test_discovery_chains.py
@@ -0,0 +1,180 @@
+"""Calls to discovery that fail in a row, on a clock set by hand and with the longest waits.
+
+What it has to tell counts as told 6 s after it had it and could be reached, whatever
+became of the calls between; 4 s after a new address was named."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any, cast
+from unittest.mock import Mock
+
+import pytest
+
+from tests.sockets import SETTINGS
+from tests.test_discovery import HEAD, Clock
+from woadyard.net import discovery as net
+from woadyard.net.discovery import Discovery, Stream
+from woadyard.net.driver import Driver
+from woadyard.net.upstream import Upstream
+from woadyard.wire import read_settings
+
+Event = Callable[["Chain", Stream], None]
+
+
+class Longest(Random):
+    """Draws what makes each wait as long as it may be."""
+
+    def random(self) -> float:
+        return 1.0 - 2.0**-53
+
+
+class Chain(Clock):
+    """A sidecar's module, its timers and its discovery; each call meets the next event."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, period_s: float = 0.0) -> None:
+        super().__init__()
+        self.events: list[Event] = []
+        self.begun: list[Stream] = []
+        self.told_at: list[float] = []
+        monkeypatch.setattr("woadyard.net.turns.now_us", lambda: round(self.now * 1e6))
+        asked = {"discovery": "ask", "invariants": {"ask-within-us": int(period_s * 1e6)}} if period_s else {}
+        raw = {**SETTINGS, **asked}
+        loop = cast(asyncio.AbstractEventLoop, self)
+        settings = read_settings(json.dumps(raw).encode())
+        self.driver = Driver(loop, 1, settings, raw, Upstream(loop, Driver.now, 64))
+        self.driver.balancer.ctx.rng = Longest()
+        self.discovery = self.driver.discovery = Discovery(
+            loop, "127.0.0.1:1", "/list", not period_s, self.listen, Longest()
+        )
+        self.driver.start(None)
+
+    def listen(self, version: int, whole: bool, entries: list[dict[str, Any]]) -> None:
+        self.driver.listed(version, whole, entries)
+        self.told_at.append(self.now)
+
+    def create_task(self, coro: Coroutine[Any, Any, None]) -> Mock:
+        coro.close()
+        self.call_later(0.0, self._meet)
+        return Mock()
+
+    def _meet(self) -> None:
+        stream = self.discovery.stream
+        if stream is not None and stream not in self.begun and not stream.done:
+            self.begun.append(stream)
+            (self.events.pop(0) if self.events else good)(self, stream)
+
+    def after(self, *events: Event) -> float:
+        """How long until a list is there, if the calls meet these, and then one that tells it."""
+        self.events += events
+        known, since = len(self.told_at), self.now
+        while len(self.told_at) == known:
+            self.go_to(self.now + 0.01)
+            assert self.now < since + 200.0, "never"
+        return self.told_at[-1] - since
+
+
+def good(chain: Chain, stream: Stream) -> None:
+    stream.connection_made(Mock())
+    line = (
+        json.dumps({"generation": 42 + len(chain.told_at), "reset": True, "instances": []}).encode() + b"\n"
+    )
+    stream.data_received(HEAD + b"%x\r\n%b\r\n" % (len(line), line))
+
+
+def refused(chain: Chain, stream: Stream) -> None:
+    stream.fail()
+
+
+def hanging(chain: Chain, stream: Stream) -> None:
+    """The connection does not come up."""
+    chain.call_later(net.CONNECT_S, stream.fail)
+
+
+def unanswered(chain: Chain, stream: Stream) -> None:
+    stream.connection_made(Mock())
+
+
+def busy(chain: Chain, stream: Stream) -> None:
+    stream.connection_made(Mock())
+    stream.data_received(b"HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nbusy")
+
+
+def reset(chain: Chain, stream: Stream) -> None:
+    stream.connection_made(Mock())
+    stream.data_received(HEAD + b'8\r\n{"genera')
+    stream.connection_lost(ConnectionResetError())
+
+
+def trickle(head: bytes, part: bytes) -> Event:
+    def event(chain: Chain, stream: Stream) -> None:
+        def drop() -> None:
+            if not stream.done:
+                stream.data_received(part)
+                chain.call_later(0.5, drop)
+
+        stream.connection_made(Mock())
+        stream.data_received(head)
+        drop()
+
+    return event
+
+
+PERIODS = [0.0, 10.0, 30.0, 60.0]  # 0: lists are pushed
+FAILED = [refused, busy, reset]
+
+
+@pytest.mark.parametrize("period_s", PERIODS)
+@pytest.mark.parametrize(
+    ("events", "most_s"),
+    [
+        ([], 3.0),
+        *([[one], 3.5] for one in FAILED),
+        *([[one, other], 4.7] for one in FAILED for other in FAILED),
+        ([unanswered], 5.95),
+    ],
+)
+def test_what_a_silent_watch_missed_is_there_in_time(
+    monkeypatch: pytest.MonkeyPatch, period_s: float, events: list[Event], most_s: float
+) -> None:
+    """It fell silent, and a change came at once; the next calls fail as well."""
+    chain = Chain(monkeypatch, period_s)
+    chain.after()
+    assert chain.after(*events) <= most_s
+
+
+@pytest.mark.parametrize("period_s", PERIODS)
+@pytest.mark.parametrize("last", [refused, hanging, unanswered, busy, reset])
+@pytest.mark.parametrize("more", [[], [busy], [reset]])
+def test_after_a_long_outage_the_list_is_there_in_time(
+    monkeypatch: pytest.MonkeyPatch, period_s: float, last: Event, more: list[Event]
+) -> None:
+    """Discovery can be reached again just after a call was begun that comes to nothing."""
+    chain = Chain(monkeypatch, period_s)
+    chain.after()
+    chain.events = [hanging, unanswered, busy, reset, refused] * 2 + [last]
+    while chain.events:
+        chain.go_to(chain.now + 0.01)
+    assert chain.after(*more) <= 4.9
+
+
+@pytest.mark.parametrize("period_s", PERIODS)
+@pytest.mark.parametrize("events", [[], [refused, reset, busy], [hanging], [unanswered]])
+def test_a_new_address_binds_in_time(
+    monkeypatch: pytest.MonkeyPatch, period_s: float, events: list[Event]
+) -> None:
+    chain = Chain(monkeypatch, period_s)
+    chain.after()
+    chain.discovery.move("127.0.0.1:2")
+    assert chain.after(*events) <= 3.8
+
+
+@pytest.mark.parametrize("period_s", PERIODS)
+@pytest.mark.parametrize("events", [[], [busy], [busy, reset], [hanging, busy], [unanswered]])
+def test_a_new_process_has_its_list_in_time(
+    monkeypatch: pytest.MonkeyPatch, period_s: float, events: list[Event]
+) -> None:
+    assert Chain(monkeypatch, period_s).after(*events) <= 4.5
--- a/woadyard/net/names.py
+++ b/woadyard/net/names.py
@@ -57,6 +57,12 @@
         return values
 
 
+# On sockets what discovery has counts as told 6 s after it could be reached, whatever
+# became of the calls to it, so no longer period counts: of this one the waits are parts.
+# A watch dies in 2.5 s and two calls more may fail.
+ASK_WITHIN_US = 3_000_000
+
+
 class InForce:
     """The settings in force; `settle` puts others in their place, whole."""
 
@@ -82,6 +88,7 @@
             retired=frozenset(self.numbers.values()) - frozenset(force.values()),
             shares_verdicts=self.shares_verdicts,
             locality=locality,
+            ask_within_us=min(read.ask_within_us, ASK_WITHIN_US),
         )
         self.locality = locality
         self.names = Names(raw, self.settings, force)
