Count only whole heads and lines of discovery as its signs of life

Cause: each byte renewed `Stream.heard` (`data_received`), so a watch or a call to which bytes trickle that never make a list was never given up: a head, 1xx answers, spaces, an indented list without an end, an answer without length or with one too great.

A whole head (2xx and up), the beginning of a line between objects (the empty line is one) and a whole object count now (`Objects.said`).

Ruled out: a head that comes after 2 s, an empty line 2 s later, and a list in single bytes over 2.1 s are not given up.

--- a/tests/test_discovery_chains.py
+++ b/tests/test_discovery_chains.py
@@ -181,3 +181,52 @@
     monkeypatch: pytest.MonkeyPatch, period_s: float, events: list[Event]
 ) -> None:
     assert Chain(monkeypatch, period_s).after(*events) <= 4.5
+
+
+PIECES = [
+    (b"HTTP/1.1 200 OK\r\nX: ", b"y"),
+    (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    (HEAD, b"1\r\n \r\n"),
+    (HEAD + b"1\r\n{\r\n", b"1\r\n \r\n"),
+    (HEAD + b"2\r\n{\n\r\n", b'7\r\n"a":1,\n\r\n'),  # an indented list without an end
+    (b"HTTP/1.1 200 OK\r\n\r\n", b" "),  # without length
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", b" "),
+]
+
+
+@pytest.mark.parametrize("period_s", PERIODS)
+@pytest.mark.parametrize("pieces", PIECES)
+def test_bytes_that_never_make_a_line_are_no_sign_of_life(
+    monkeypatch: pytest.MonkeyPatch, period_s: float, pieces: tuple[bytes, bytes]
+) -> None:
+    chain = Chain(monkeypatch, period_s)
+    chain.after()
+    assert chain.after(trickle(*pieces)) <= 5.95
+
+
+@pytest.mark.parametrize("period_s", PERIODS)
+@pytest.mark.parametrize("begun", [b"1\r\n{\r\n", b"2\r\n{\n\r\n"])
+def test_a_watch_whose_lists_stop_half_way_is_given_up_as_a_silent_one(
+    monkeypatch: pytest.MonkeyPatch, period_s: float, begun: bytes
+) -> None:
+    chain = Chain(monkeypatch, period_s)
+    chain.after()
+    trickle(begun, b"1\r\n \r\n")(chain, chain.begun[-1])
+    assert chain.after() <= 2.85
+
+
+def test_a_list_that_takes_its_time_is_taken(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A crowded service answers late, and its first line comes after that again."""
+
+    def late(chain: Chain, stream: Stream) -> None:
+        stream.connection_made(Mock())
+        chain.call_later(2.0, stream.data_received, HEAD)
+        chain.call_later(4.0, stream.data_received, b"1\r\n\n\r\n")
+        line = b'{"generation": 42, "reset": true,\n "instances": []}\n'
+        for at in range(len(line)):
+            part = b"1\r\n%b\r\n" % line[at : at + 1]
+            chain.call_later(6.0 + at * 0.04, stream.data_received, part)
+
+    chain = Chain(monkeypatch, 10.0)
+    chain.after(late)
+    assert len(chain.begun) == 1
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -56,7 +56,7 @@
         self.status = 0  # of the answer, once its head has come
         self.ended = False  # the answer has
         self.done = False  # whole, or given up: its end says nothing
-        self.heard = owner.loop.time()
+        self.heard = owner.loop.time()  # of it: a whole head or line, or the beginning of one
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -69,10 +69,13 @@
     def data_received(self, data: bytes) -> None:
         if self.done:
             return
-        self.heard = self.owner.loop.time()
+        said = self.lists.said
         try:
             self.parser.feed_data(data)
             self._read()
+            # Guards against bytes that trickle in and never make a list.
+            if self.lists.said > said:
+                self.heard = self.owner.loop.time()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._bad(PeerError(f"no HTTP answer: {error}"))
         except PeerError as error:
@@ -85,6 +88,7 @@
     def on_headers_complete(self) -> None:
         if (status := self.parser.get_status_code()) >= 200:
             self.status = status
+            self.heard = self.owner.loop.time()
 
     def on_body(self, data: bytes) -> None:
         if self.status == 200:
--- a/woadyard/net/lines.py
+++ b/woadyard/net/lines.py
@@ -28,8 +28,11 @@
         self.rest = bytearray()  # of a line
         self.lines: list[bytes] = []  # of an object that is open
         self.depth = self.size = 0
+        self.said = 0  # lines begun between objects, and objects ended
 
     def feed(self, data: bytes) -> None:
+        if not self.rest and not self.lines:
+            self.said += 1
         self.rest += data
         if len(self.rest) + self.size > OBJECT_MAX:
             raise PeerError("a list without an end")
@@ -45,9 +48,12 @@
 
     def _first(self, line: bytes) -> Iterator[T]:
         try:
-            yield self._decode(line)
+            found = self._decode(line)
         except TruncatedError:
             self._hold(line)
+        else:
+            self.said += 1
+            yield found
 
     def _further(self, line: bytes) -> Iterator[T]:
         if not line:
@@ -56,6 +62,7 @@
         if self.depth <= 0:
             found = b" ".join(self.lines)
             self.lines, self.depth, self.size = [], 0, 0
+            self.said += 1
             yield self._decode(found)
 
     def _hold(self, line: bytes) -> None:
