--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -29,13 +29,15 @@
 SILENT_S = 2.5
 # Waits before a watch is begun anew: the first spreads those that lost theirs together.
 # A new address binds 4 s after it was named.
-RETRY_S, RETRY_MOST_S = 0.4, 1.6
+RETRY_S, RETRY_MOST_S = 0.3, 1.2
 # Where lists are pushed, what discovery has counts as told at once, watch or no watch: after
 # an outage the list has to be here within the grace of a drain, 250 ms.
 PUSHED_RETRY_S, PUSHED_RETRY_MOST_S = 0.1, 0.2
 # For as long a new process waits for it before it serves by the list that it started with.
 FIRST_LIST_S = 0.5
-CONNECT_S = 2.0
+# Past the kernel's first repeat of a lost SYN, 1 s on, and no longer: its next one comes
+# 3 s on, and two connections that hang and the waits between have to fit in those 4 s.
+CONNECT_S = 1.25
 LOG = logging.getLogger(__name__)
 LOST = "discovery lost, the last list kept"
 
@@ -54,7 +56,7 @@
         self.status = 0  # of the answer, once its head has come
         self.ended = False  # the answer has
         self.done = False  # whole, or given up: its end says nothing
-        self.heard = owner.loop.time()
+        self.heard = owner.loop.time()  # of it: a whole head or line, or the beginning of one
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -67,10 +69,13 @@
     def data_received(self, data: bytes) -> None:
         if self.done:
             return
-        self.heard = self.owner.loop.time()
+        said = self.lists.said
         try:
             self.parser.feed_data(data)
             self._read()
+            # Guards against bytes that trickle in and never make a list.
+            if self.lists.said > said:
+                self.heard = self.owner.loop.time()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._bad(PeerError(f"no HTTP answer: {error}"))
         except PeerError as error:
@@ -83,6 +88,7 @@
     def on_headers_complete(self) -> None:
         if (status := self.parser.get_status_code()) >= 200:
             self.status = status
+            self.heard = self.owner.loop.time()
 
     def on_body(self, data: bytes) -> None:
         if self.status == 200:
