Answer every whole request that was read before bad bytes on a connection

Cause: `Caller.refuse` cleared `waiting` where a request was being served. Requests sent ahead whose last byte had come (taken, and owed an answer) were dropped when bytes behind them were no request: of three ahead the last two got none, and the connection just ended. It also set `over` back to False, so the broken parser was fed again with each further read, and the last answer closed the connection over what was still unread, which resets it.

Seen: three requests and a bad one in one write, three kinds of bad bytes: one answer, then the end (client: incomplete read, or reset by peer).

Now what was taken is served in its turn, nothing more is read, the last answer says `Connection: close`, and what still comes is read and dropped for a moment (`_linger`, as after a 4xx; where an answer is read slowly, for as long as it may stand still).

Ruled out, and kept as tests: 21 kinds of bad bytes (TLS, HTTP/2, binary, heads without end, lengths, chunks, NUL, lone CR, deadlines) get a 4xx/5xx, one log line without a traceback, nothing is sent on and others are served; half a request and a half-close end in time; 1,000 requests in one write are answered in turn, hold what one read holds and keep nobody out.

--- /dev/null
+++ b/tests/test_bad_bytes.py
@@ -0,0 +1,147 @@
+"""Bytes that are no request: an error or a close in time, and nothing that was taken is lost."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+
+import pytest
+
+from tests.sockets import (
+    TIMEOUT_S,
+    Endpoint,
+    Message,
+    Sidecar,
+    Writer,
+    answer,
+    on_loop,
+    read_message,
+    request,
+    sidecar,
+    until,
+)
+from woadyard.net.message import READ_SIZE
+
+
+def owes_nothing(one: Sidecar) -> bool:
+    endpoints = one.driver.balancer.endpoints.values()
+    return not one.driver.calls and all(known.inflight == 0 for known in endpoints)
+
+
+GARBAGE = bytes(range(128, 256)) * 16384  # 2 MiB
+HTTP2 = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes(9)
+TLS = bytes.fromhex("16030100c8010000c40303") + bytes(200)
+BAD = {
+    "method": b"FETCH / HTTP/1.1\r\n\r\n",
+    "binary": GARBAGE[:5000],
+    "tls": TLS,
+    "http2": HTTP2,
+    "huge head": b"GET /page HTTP/1.1\r\nX-Long: " + b"x" * 300_000,
+    "many headers": b"GET /page HTTP/1.1\r\n" + b"X-A: b\r\n" * 40_000,
+    "negative length": request("pay").replace(b"Length: 0", b"Length: -1"),
+    "huge length": request("pay").replace(b"Length: 0", b"Length: " + b"9" * 400),
+    "two lengths": request("pay").replace(b"Length: 0", b"Length: 0\r\nContent-Length: 1"),
+    "chunk": request("pay").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"zz\r\nno\r\n",
+    "chunk length": request("pay").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"f" * 40,
+    "nul": request().replace(b"X-Class: page", b"X-Class: pa\x00ge"),
+    "nul in target": request().replace(b"/page?", b"/page\x00?"),
+    "lone cr": request().replace(b"\r\nHost", b"\rHost"),
+    "percent": request().replace(b"/page?", b"/%zz%?"),
+    "no path": request().replace(b"/page?obj=7f3a", b"*"),
+    "deadline below zero": request(deadline_ms=-1),
+    "deadline huge": request().replace(b"-Ms: 4000", b"-Ms: " + b"9" * 40),
+    "deadline no number": request().replace(b"-Ms: 4000", "-Ms: ²".encode()),
+    "version": request().replace(b"HTTP/1.1", b"HTTP/9.9"),
+    "upgrade": b"CONNECT host:1 HTTP/1.1\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("raw", list(BAD.values()), ids=list(BAD))
+@on_loop
+async def test_what_is_no_request_gets_an_error_and_is_never_sent_on(
+    raw: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    endpoint = Endpoint()
+    async with sidecar(endpoint) as one:
+        one.server.waits.linger_s = TIMEOUT_S
+        good, good_writer = await one.connect()
+        with caplog.at_level(logging.DEBUG):
+            reader, writer = await one.connect()
+            writer.write(raw)
+            back = await read_message(reader)
+            assert back.start.split()[1][0] in "45" and await reader.read() == b""
+        assert [record.exc_info for record in caplog.records] == [None], "one line"
+        good_writer.write(request(rid="good"))
+        assert (await read_message(good)).body == b"ok"
+        assert [message.headers["x-request-id"] for message in endpoint.got] == ["good"]
+        assert owes_nothing(one)
+        for each in (writer, good_writer):
+            each.close()
+        await until(lambda: not one.server.callers)
+
+
+@pytest.mark.parametrize("raw", [b"", b"\r\n\r\n", b"GE", b"GET /page HTTP/1.1\r\nHost: x\r\n"])
+@pytest.mark.parametrize("goes", [False, True])
+@on_loop
+async def test_half_a_request_ends_in_time_and_leaves_nothing(raw: bytes, goes: bool) -> None:
+    async with sidecar(Endpoint()) as one:
+        one.server.waits.request_s = 0.02
+        reader, writer = await one.connect()
+        writer.write(raw)
+        if goes:
+            writer.write_eof()
+        back = await reader.read()
+        assert not back or back.startswith(b"HTTP/1.1 408 ")
+        await until(lambda: not one.server.callers)
+        assert owes_nothing(one) and not one.server.resting
+
+
+@pytest.mark.parametrize("ahead", [1, 3])
+@pytest.mark.parametrize("bad", [b"nonsense\r\n\r\n", GARBAGE, request(rid=""), b"POST /pay"], ids=len)
+@on_loop
+async def test_whole_requests_before_a_bad_one_are_all_answered(ahead: int, bad: bytes) -> None:
+    """And not reset away by the bytes that still come behind them."""
+    release = asyncio.Event()
+
+    async def slow(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        await release.wait()
+        writer.write(answer())
+
+    endpoint = Endpoint(slow)
+    async with sidecar(endpoint) as one:
+        one.server.waits.request_s, one.server.waits.linger_s = 0.05, TIMEOUT_S
+        reader, writer = await one.connect()
+        writer.write(b"".join(request("pay", rid=f"r{n}") for n in range(ahead)) + bad)
+        await endpoint.arrived.acquire()
+        release.set()
+        for _ in range(ahead):
+            back = await read_message(reader)
+            assert back.start.split()[1] == "200"
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            back = await read_message(reader)
+            assert back.start.split()[1][0] == "4"
+        assert await reader.read() == b""
+        assert len(endpoint.got) == ahead and owes_nothing(one)
+        writer.close()
+        await until(lambda: not one.server.callers)
+
+
+@on_loop
+async def test_a_thousand_requests_in_one_write_are_answered_in_turn_and_keep_nobody_out() -> None:
+    endpoint = Endpoint()
+    async with sidecar(endpoint) as one:
+        reader, writer = await one.connect()
+        writer.write(b"".join(request(rid=f"a{n}") for n in range(1000)))
+        await endpoint.arrived.acquire()
+        assert (await one.ask(request(rid="other"))).body == b"ok"
+        assert len(endpoint.got) < 1001, "not behind all of them"
+        (caller,) = (each for each in one.server.callers if each.waiting)
+        assert len(caller.waiting) <= READ_SIZE // len(request(rid="a0")), "what one read holds"
+        for _ in range(1000):
+            assert (await read_message(reader)).body == b"ok"
+        order = [message.headers["x-request-id"] for message in endpoint.got]
+        assert [rid for rid in order if rid != "other"] == [f"a{n}" for n in range(1000)]
+        assert owes_nothing(one)
+        writer.close()
+        await until(lambda: not one.server.callers)
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -37,7 +37,8 @@
         self.passing: Passing | None = None  # an answer that is passed on
         self.waiting: deque[tuple[Call | Answer, bool]] = deque()  # sent ahead of an answer
         self.keep = True
-        self.over = False  # nothing more is read
+        self.refused = False  # nothing more is read; what was taken before is answered
+        self.over = False  # nothing more is read, or written
         self.incoming = Incoming(self)
         self.held = self.paused = False  # the endpoint takes no more; nothing is read
         self.clogged = False  # it reads no answers
@@ -75,7 +76,7 @@
         return self.server.buffer
 
     def buffer_updated(self, size: int) -> None:
-        if not self.over:
+        if not (self.over or self.refused):
             self.read(bytes(self.server.buffer[:size]))
 
     def read(self, data: bytes) -> None:
@@ -209,7 +210,8 @@
             else:
                 self.call = asked
                 self.requests.take(asked)
-        if self.incoming.large and self.call is None and not (self.over or self.shedding or self.upload):
+        ended = self.over or self.refused or self.shedding
+        if self.incoming.large and self.call is None and not (ended or self.upload):
             self._load()
         self._pace()
 
@@ -307,7 +309,7 @@
 
     def _kept(self) -> bool:
         """Whether there is more to come: requests sent ahead have been taken, and are served."""
-        return self.keep and (bool(self.waiting) or not self.server.closing)
+        return self.keep and (bool(self.waiting) or not (self.refused or self.server.closing))
 
     def _write(self, answer: Answer) -> None:
         if self.transport is None or self.transport.is_closing():
@@ -318,7 +320,9 @@
 
     def _after(self, keep: bool) -> None:
         """An answer was written."""
-        if not keep:
+        if self.refused and not keep:
+            self._linger()
+        elif not keep:
             self.over = True
             self.server.close(self)
         elif self.idle():
@@ -338,25 +342,30 @@
             if self.passing is not None:  # its answer has begun: it can only break off
                 self.end(False)
                 return
-        if self.call is not None or self.transport is None:
-            # The request before it is still served; its answer ends the connection.
-            self.over, self.keep = False, False
-            self.waiting.clear()
-            return
+        self.refused = True
+        if self.call is not None or self.waiting:
+            return  # requests before it were taken whole: the last one's answer ends the connection
         self._write_last(Answer(error.status, b"Content-Type: text/plain\r\n", f"{error}\n".encode()))
 
     def _write_last(self, answer: Answer) -> None:
-        """An answer, and the end. What is still coming is read and dropped for a
-        moment: closing on unread bytes would reset the answer away."""
+        """An answer, and the end."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(final(answer, False))
+        self._linger()
+
+    def _linger(self) -> None:
+        """All is answered. What is still coming is read and dropped for a moment:
+        closing on unread bytes would reset the answers away."""
         self.over, self.keep = True, False
         self._wait()
         if self.transport is None or self.transport.is_closing():
             return
         self._pace()
-        self.transport.write(final(answer, False))
         if self.transport.can_write_eof():
             self.transport.write_eof()
-        self.loop.call_later(self.server.waits.linger_s, self.transport.abort)
+        waits = self.server.waits
+        unwritten = self.transport.get_write_buffer_size()  # of an answer that is read slowly
+        self.loop.call_later(waits.relay_s if unwritten else waits.linger_s, self.transport.abort)
 
     def idle(self) -> bool:
         return self.call is None and not self.waiting and not self.incoming.reading
