Keep an answer given early from being reset by what follows the body

Cause: where a request was answered while its body still came (`_shed`), the end of that body, or bad bytes in it, closed the connection at once (`Caller.whole`, `Caller.refuse`). Bytes behind it that were still unread turned the close into a reset, and a caller that looks for its answer only once it has written all found none.

Now the connection ends as after a 4xx: the end is sent, what still comes is dropped for a moment, and it closes when the caller does.

--- a/tests/test_bad_bytes.py
+++ b/tests/test_bad_bytes.py
@@ -9,12 +9,14 @@
 import pytest
 
 from tests.sockets import (
+    LARGE,
     TIMEOUT_S,
     Endpoint,
     Message,
     Sidecar,
     Writer,
     answer,
+    chunks,
     on_loop,
     read_message,
     request,
@@ -127,6 +129,23 @@
         await until(lambda: not one.server.callers)
 
 
+@pytest.mark.parametrize("behind", [b"zz\r\n" + GARBAGE, b"0\r\n\r\n" + GARBAGE], ids=["chunk", "whole"])
+@on_loop
+async def test_an_answer_given_early_is_not_reset_away_by_what_follows_the_body(behind: bytes) -> None:
+    """The caller looks for its answer once it has written all."""
+    async with sidecar(Endpoint(), known=False) as one:
+        one.server.waits.linger_s = TIMEOUT_S
+        one.driver.balancer.membership.banned[7] = None  # all endpoints are out: refused at once
+        reader, writer = await one.connect()
+        head = request("pay").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        writer.write(head + chunks(LARGE, 5000)[:-5] + behind)
+        await writer.drain()
+        assert (await read_message(reader)).start.split()[1] == "503"
+        assert await reader.read() == b"" and owes_nothing(one)
+        writer.close()
+        await until(lambda: not one.server.callers)
+
+
 @on_loop
 async def test_a_thousand_requests_in_one_write_are_answered_in_turn_and_keep_nobody_out() -> None:
     endpoint = Endpoint()
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -136,7 +136,7 @@
 
     def whole(self) -> None:
         if self.shedding:
-            self.server.close(self)
+            self._linger()
         elif self.upload is not None:
             self._loaded(self.upload)
         else:
@@ -334,7 +334,7 @@
         LOG.info("request refused", extra={"status": error.status, "why": str(error)})
         self.server.driver.metrics.malformed(error.status)
         if self.shedding:  # answered already
-            self.server.close(self)
+            self._linger()
             return
         if self.upload is not None and self.call is not None:
             call, self.call, self.upload = self.call, None, None
