End an attempt whose connection comes up in the turn in which it is given up

Cause: `Link.open` ended the attempt within the task that connects, and relied on `connection_lost` once the transport was known. uvloop schedules `connection_made` when the connect ends; a cancel that falls between that and the call (the connect timeout's timer, or the client's leaving) still lets it be called, then closes the handle without `connection_lost`. So the request was written to a connection that was closed at once, its attempt ended only at the client's deadline (504 after 4 s, "may have run"), and the connection stayed on the books for good. `links` counts against the limit of descriptors, so each such case took one socket from the rest: a client that sends a request and closes at once is enough. A task called off before its first step ran no `except` at all.

Seen: with the loop busy between the two events, 504 with outcome TIMEOUT instead of 503 with NO_CONNECT; one link left in `Upstream.links` for each client that sends and goes. Ruled out: the descriptor itself is closed by uvloop in every case.

Change: the end is told by the task's done callback, which runs whatever became of it; the connect's timer does nothing once the connection is up; nothing is written to a connection whose connect was called off already. Each socket test now ends by seeing that no call, attempt, in-flight count or used connection is left.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -243,9 +243,36 @@
         server = Server(driver)
         port = await server.listen("127.0.0.1", 0)
         stack.callback(upstream.close)
-        yield Sidecar(driver, upstream, server, port)
+        one = Sidecar(driver, upstream, server, port)
+        yield one
         if server.listener is not None:
             server.listener.close()
+        await nothing_owed(one)
+
+
+async def nothing_owed(one: Sidecar) -> None:
+    """Once all clients have left: each attempt has ended, and each connection rests or is closed."""
+    for caller in list(one.server.callers):
+        if caller.transport is not None:
+            caller.transport.abort()
+    balancer, upstream = one.driver.balancer, one.upstream
+
+    def owed() -> list[object]:
+        resting = {link for pool in upstream.pools.values() for link in pool.idle}
+        return [
+            *one.server.callers,
+            *one.driver.calls.values(),
+            *balancer.requests.values(),
+            *balancer.ended.values(),
+            *(known for known in balancer.endpoints.values() if known.inflight or known.moving),
+            *(upstream.links - resting),
+        ]
+
+    try:
+        async with asyncio.timeout(TIMEOUT_S / 4):
+            await until(lambda: not owed())
+    except TimeoutError:
+        raise AssertionError(f"still owed: {owed()}") from None
 
 
 def outcomes(one: Sidecar) -> list[Outcome]:
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,82 @@
+"""How attempts end: late connections, time-outs in the same turn, closes under a request.
+
+Each crossing is forced by events; that nothing is owed at the end, `sidecar` sees to itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from tests.sockets import (
+    Endpoint,
+    on_loop,
+    outcomes,
+    read_message,
+    request,
+    sidecar,
+    until,
+)
+from woadyard.interface import CANCELLED, NO_CONNECT, OK
+from woadyard.net.message import Attempt
+
+
+@on_loop
+async def test_an_attempt_called_off_before_its_connect_began_leaves_no_connection_on_the_books() -> None:
+    """A client that sends a request and goes: both are read before the connect's first step."""
+    async with sidecar(Endpoint()) as one:
+        told = outcomes(one)
+        with socket.create_connection(("127.0.0.1", one.port)) as client:
+            client.sendall(request("pay"))
+        await until(lambda: bool(told))
+        assert [event.outcome for event in told] == [CANCELLED]
+        await until(lambda: not one.server.callers)
+        for _ in range(8):
+            await asyncio.sleep(0)
+        assert not one.upstream.links
+
+
+@pytest.mark.parametrize("lateness", ["timed out", "called off"])
+@on_loop
+async def test_a_connection_that_comes_up_in_the_turn_in_which_it_is_given_up_carries_nothing(
+    lateness: str,
+) -> None:
+    """The loop is busy between the connect's coming up and the moment in which it tells of that."""
+    endpoint = Endpoint()
+    near, far = socket.socketpair()
+    async with sidecar(endpoint, ceilings={"max-attempts": 1}) as one:
+        loop, told = asyncio.get_running_loop(), outcomes(one)
+        one.upstream.connect_s = 0.05
+        real = one.upstream.send
+
+        def send(attempt: Attempt) -> None:
+            real(attempt)
+            far.send(b"x")  # read in the same turn as the connect's end
+
+        def busy() -> None:
+            near.recv(1)
+            time.sleep(0.1)
+            if lateness == "called off":
+                (call,) = one.driver.calls.values()
+                one.driver.requests.gone(call)
+
+        loop.add_reader(near, busy)
+        one.driver.attempts.upstream.send = send  # type: ignore[method-assign]
+        reader, writer = await one.connect()
+        writer.write(request("pay"))
+        if lateness == "called off":
+            await until(lambda: bool(told))
+            assert [event.outcome for event in told] == [CANCELLED] and not endpoint.got
+        else:
+            back = await read_message(reader)
+            (event,) = told
+            assert (back.start.split()[1], event.outcome) in (("503", NO_CONNECT), ("200", OK))
+            assert len(endpoint.got) == (event.outcome == OK)
+        writer.close()
+        loop.remove_reader(near)
+        near.close()
+        far.close()
+        await until(lambda: all(link in link.pool.idle for link in one.upstream.links))
--- a/woadyard/net/link.py
+++ b/woadyard/net/link.py
@@ -70,6 +70,8 @@
         self.attempt: Attempt | None = attempt
         self.transport: asyncio.Transport | None = None
         self.opening: asyncio.Task[None] | None = None
+        self.late: asyncio.TimerHandle | None = None  # runs while it opens
+        self.lost = False
         self.idle_since = 0.0
         self.unwritten = True  # the request's last byte is not yet with the system
         self.upload: Upload | None = None  # a body on its way out
@@ -89,21 +91,33 @@
 
     # --- Connection -----------------------------------------------------------
 
-    async def open(self) -> None:
-        loop, seconds = self.owner.loop, self.owner.connect_s
-        try:
-            async with asyncio.timeout(seconds):
-                await loop.create_connection(lambda: self, self.pool.host, self.pool.port)
-        except (OSError, TimeoutError, asyncio.CancelledError):
-            # Once it has come up, `connection_lost` knows whether the request left.
-            if self.transport is None:
-                self.owner.gone(self)
-                self._end(NO_CONNECT)
+    def open(self) -> None:
+        loop, pool = self.owner.loop, self.pool
+        self.opening = loop.create_task(self._connect(pool.host, pool.port))
+        # Not within the task: one called off before its first step runs nothing at all.
+        self.opening.add_done_callback(self._opened)
+        self.late = loop.call_later(self.owner.connect_s, self._too_late)
+
+    async def _connect(self, host: str, port: int) -> None:
+        await self.owner.loop.create_connection(lambda: self, host, port)
+
+    def _too_late(self) -> None:
+        if self.transport is None and self.opening is not None:
+            self.opening.cancel()
+
+    def _opened(self, opening: asyncio.Task[None]) -> None:
+        """It came up, or failed, or was called off; of the latter two uvloop tells no
+        `connection_lost`, even where it came up in the same turn and told of that."""
+        if self.late is not None:
+            self.late.cancel()
+        if not self.lost and (opening.cancelled() or opening.exception() is not None):
+            self.connection_lost(None)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)  # `pause_writing` tells of unwritten bytes
-        if self.attempt is None:  # called off while it came up
+        # Called off, or too late by the same turn: nothing may be written any more.
+        if self.attempt is None or (self.opening is not None and self.opening.cancelling()):
             self.transport.abort()
         else:
             self.write()
@@ -172,6 +186,7 @@
             self.opening.cancel()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
         if self in self.pool.idle:
             self.pool.idle.remove(self)
         self.owner.gone(self)
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -84,7 +84,7 @@
             return
         link = attempt.link = Link(self, pool, attempt)
         self.links.add(link)
-        link.opening = self.loop.create_task(link.open())
+        link.open()
 
     def _drop_oldest(self) -> None:
         resting = [pool.idle[0] for pool in self.pools.values() if pool.idle]
