Write no repeat whose connection comes up past its class's window

Cause: `Request.may_repeat` compares the window with the time of the choice, and `Attempts.may_start`, asked at the moment of writing, knew the deadline and the drain grace but not the window. A connection may come up as late as the connect timeout after the choice, so a keyed request whose first attempt may have run was written to an endpoint that no longer knew its key.

Seen: with the second connection held back past the window the endpoint got the request a second time (2 received, 1 allowed). Ruled out: the first attempt's own late connect is no harm, as the window is counted from its choice, which is earlier.

Change: the module names with each `Send` until when it may start (`start_by`), as it alone knows the rule; the shell asks it at the moment of writing and reports the attempt as never sent.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,13 +6,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import time
 
 import pytest
 
 from tests.sockets import (
+    SETTINGS,
     Endpoint,
+    Message,
+    Writer,
+    answer,
     on_loop,
     outcomes,
     read_message,
@@ -20,8 +25,10 @@
     sidecar,
     until,
 )
-from woadyard.interface import CANCELLED, NO_CONNECT, OK
+from woadyard.interface import CANCELLED, ERROR, MOOT, NO_CONNECT, OK
+from woadyard.net.link import Link
 from woadyard.net.message import Attempt
+from woadyard.wire import read_settings
 
 
 @on_loop
@@ -80,3 +87,38 @@
         near.close()
         far.close()
         await until(lambda: all(link in link.pool.idle for link in one.upstream.links))
+
+
+@pytest.mark.parametrize("past", [False, True], ids=["within", "past"])
+@on_loop
+async def test_a_repeat_whose_connection_comes_up_past_the_window_is_not_written(past: bool) -> None:
+    """Its endpoints would not know it any more, and run it again."""
+    got: list[Message] = []
+
+    async def error_first(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        got.append(message)
+        writer.write(answer(500 if len(got) == 1 else 200))
+
+    window, up, connecting = 500_000 if past else 4_000_000, asyncio.Event(), asyncio.Event()
+    async with sidecar(Endpoint(error_first), Endpoint(error_first)) as one:
+        raw = {**SETTINGS, "classes": [{**c, "repeat-window-us": window} for c in SETTINGS["classes"]]}
+        one.driver.retune(raw, read_settings(json.dumps(raw).encode()))
+        told, connect = outcomes(one), Link._connect
+
+        async def late(link: Link, host: str, port: int) -> None:
+            if got:
+                connecting.set()
+                await up.wait()
+            await connect(link, host, port)
+
+        with pytest.MonkeyPatch.context() as patched:
+            patched.setattr(Link, "_connect", late)
+            asked = asyncio.create_task(one.ask(request("put")))
+            await connecting.wait()
+            (call,) = one.driver.calls.values()
+            await until(lambda: not past or one.driver.now() >= call.attempts[0].sent + window)
+            up.set()
+            back = await asked
+        assert len(got) == (1 if past else 2)
+        assert [event.outcome for event in told] == [ERROR, MOOT if past else OK]
+        assert back.start.split()[1] == ("502" if past else "200")
--- a/woadyard/interface.py
+++ b/woadyard/interface.py
@@ -268,6 +268,7 @@
     endpoint: int
     timeout_us: int
     arm: int = 0  # that it goes to; 0 without a split
+    start_by: int = 0  # its first byte may leave before this; 0 without a bound
 
 
 @dataclass(slots=True, frozen=True)
--- a/woadyard/net/attempts.py
+++ b/woadyard/net/attempts.py
@@ -30,7 +30,7 @@
         upstream.ended, upstream.may_start, upstream.relay = self.ended, self.may_start, self.relay
 
     def may_start(self, attempt: Attempt, now: int) -> bool:
-        if not attempt.call.open or now >= attempt.until:
+        if not attempt.call.open or now >= min(attempt.until, attempt.start_by):
             return False
         return self.places.may_start(attempt.endpoint, now)
 
@@ -39,7 +39,8 @@
         if call is None:
             return
         left = action.timeout_us or call.expires - now
-        attempt = Attempt(call, len(call.attempts), action.endpoint, now, min(call.expires, now + left))
+        until = min(call.expires, now + left)
+        attempt = Attempt(call, len(call.attempts), action.endpoint, now, until, action.start_by)
         call.attempts.append(attempt)
         self.turns.metrics.sent(attempt.copy)
         if (observer := self.turns.observer) is not None:
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -153,16 +153,17 @@
 
 class Attempt:
     __slots__ = (
-        "call", "copy", "endpoint", "extra", "head_us", "link", "out", "sent", "timer", "until",
-        "wrote",
+        "call", "copy", "endpoint", "extra", "head_us", "link", "out", "sent", "start_by", "timer",
+        "until", "wrote",
     )  # fmt: skip
 
-    def __init__(self, call: Call, copy: int, endpoint: int, now: int, until: int) -> None:
+    def __init__(self, call: Call, copy: int, endpoint: int, now: int, until: int, start_by: int = 0) -> None:
         self.call = call
         self.copy = copy
         self.endpoint = endpoint
         self.sent = now
         self.until = until  # when the sidecar stops waiting
+        self.start_by = start_by or until  # nothing of it is written from then on
         self.out = True  # no outcome yet
         self.extra = b""  # header lines of this attempt alone
         self.wrote = False  # a byte of it may have reached the endpoint
--- a/woadyard/policy/balancer.py
+++ b/woadyard/policy/balancer.py
@@ -132,15 +132,13 @@
         return self._taken(now)
 
     def head(self, now: int, event: Outcome) -> list[Action]:
-        request = self.requests.get(event.request)
-        if request is not None:
+        if (request := self.requests.get(event.request)) is not None:
             request.streaming = now
             request.attempts[event.copy].move(now, True)
         return self._taken(now)
 
     def gone(self, now: int, rid: int) -> list[Action]:
-        request = self.requests.get(rid)
-        if request is not None:
+        if (request := self.requests.get(rid)) is not None:
             self._result(now, request, TIMEOUT)
             self._forget(now, request)
         return self._taken(now)
@@ -201,15 +199,15 @@
         if endpoint.inflight >= endpoint.cap or not known or not self.slow.spend(now, endpoint):
             return False
         self.membership.trials.pop(endpoint.id, None)
+        start_by = request.start_by()
         request.attempts.append(attempt := Attempt(endpoint, now))
-        if not endpoint.inflight:
-            endpoint.quiet_since = now
+        endpoint.quiet_since = endpoint.quiet_since if endpoint.inflight else now
         endpoint.inflight += 1
         attempt.move(now, request.loading)
         if request.key:
             self.order.turns[request.key].out += 1
         self.ctx.sends.add(now)
-        self.out.append(Send(request.id, endpoint.id, request.expires - now, endpoint.arm))
+        self.out.append(Send(request.id, endpoint.id, request.expires - now, endpoint.arm, start_by))
         return True
 
     def _ended(self, now: int, request: Request, event: Outcome) -> None:
--- a/woadyard/policy/request.py
+++ b/woadyard/policy/request.py
@@ -55,14 +55,16 @@
 
     def may_repeat(self, now: int, settings: Settings) -> bool:
         """Whether a further attempt is allowed at all, wherever it goes."""
-        if len(self.attempts) >= settings.max_attempts or self.streaming:
-            return False
-        if self.spent or now >= self.expires or not (settings.second_copies or not self.outstanding()):
+        if len(self.attempts) >= settings.max_attempts or self.streaming or self.spent:
             return False
+        return now < self.start_by() and (settings.second_copies or not self.outstanding())
+
+    def start_by(self) -> int:
+        """A further attempt begins before this, however late its connection comes up."""
         maybe = self.first_maybe()
         if maybe is None or self.cls.effect == SAFE:
-            return True
-        return self.cls.effect == KEYED and now - maybe.sent < self.cls.window_us
+            return self.expires
+        return min(self.expires, maybe.sent + self.cls.window_us) if self.cls.effect == KEYED else 0
 
     def harmless(self) -> bool:
         """Whether a client's own repeat is sure to do no harm."""
