Answer what is still owed before SIGKILL: deadlines of before, bodies, half requests

`Server.answered_by` held for requests read whole after SIGTERM alone. A request taken before it kept its deadline (6 s, say, where SIGKILL comes after 3.7 s); a large body on its way runs no time at all until its last byte (`LOADING_US`); one that is not whole was left to the 2.5 s of `Caller._out_of_patience`. SIGKILL cut all of them off without an answer, and they kept the process from ending.

At `answered_by` each gets its answer: 504, or 503 where no byte of it went to an endpoint, as then a repeat is harmless; a request that is not whole gets a 503, and what still comes of it is read and dropped. What comes whole after that is refused with 503. Attempts that are out are called off. An answer that is being passed on is left to end: framed, it is seen not to be whole.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -9,8 +9,23 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from tests.process import config, free_port, open_at, start
-from tests.sockets import SETTINGS, Endpoint, Registry, Sidecar, on_loop, read_message, request, sidecar
+from tests.sockets import (
+    LARGE,
+    SETTINGS,
+    Endpoint,
+    Message,
+    Registry,
+    Sidecar,
+    Writer,
+    on_loop,
+    read_message,
+    request,
+    sidecar,
+    until,
+)
 from woadyard.wire import read_settings
 
 
@@ -62,3 +77,49 @@
             if process.returncode is None:
                 process.kill()
         assert process.returncode == 0
+
+
+async def hold(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+    """No answer, until the connection closes."""
+
+
+def settled(one: Sidecar) -> bool:
+    """Nothing is owed to anybody."""
+    ends = one.driver.balancer.endpoints.values()
+    return not one.driver.calls and not any(end.inflight for end in ends)
+
+
+HALF_HEAD = request()[:-10]
+HALF_BODY = request("pay", b"x" * 100)[:-50]
+LOADING = request("pay", LARGE)[: len(LARGE) // 2]
+PATIENT = request("pay", deadline_ms=30_000)
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [(HALF_HEAD, 503), (HALF_BODY, 503), (LOADING, 504), (PATIENT, 504)],
+    ids=["half a head", "half a body", "half a large body", "a long deadline"],
+)
+@pytest.mark.parametrize("before", [True, False])
+@on_loop
+async def test_what_is_not_over_by_the_end_is_answered_before_the_kill(
+    sent: bytes, status: int, before: bool
+) -> None:
+    """A request begun, a body on its way, a deadline of before SIGTERM: SIGKILL would cut it off."""
+    endpoint, ended = Endpoint(hold), asyncio.Event()
+    async with sidecar(endpoint) as one, asyncio.timeout(10.0):
+        retune(one, 300_000)
+        reader, writer = await one.connect()
+        if before:
+            writer.write(sent)
+            await until(lambda: any(caller.call or caller.incoming.reading for caller in one.server.callers))
+        one.server.stop(ended.set)
+        by = one.server.answered_by
+        if not before:
+            writer.write(sent)
+        back = await read_message(reader)
+        assert int(back.start.split()[1]) == status and back.headers["connection"] == "close"
+        assert one.driver.now() >= by - 1000, "it had its time"
+        writer.close()
+        await ended.wait()
+        assert settled(one)
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -195,7 +195,7 @@
         call = read_call(server.driver, read.method, read.target, read.headers, self, server.answered_by)
         server.claim(request_id(read.headers))
         call.body = b"".join(read.body)
-        return call if not server.shut_out else server.turn_away()
+        return call if not server.turning_away else server.turn_away()
 
     def _checks_health(self) -> bool:
         return self.incoming.target.partition(b"?")[0] == READY_PATH
@@ -358,5 +358,12 @@
             self.transport.write_eof()
         self.loop.call_later(self.server.waits.linger_s, self.transport.abort)
 
+    def give_up(self) -> None:
+        """The process ends: what is owed an answer, or not even whole, gets one now."""
+        if self.call is not None:
+            self.requests.give_up(self.call)
+        elif self.incoming.reading and not (self.over or self.shedding):
+            self._write_last(Answer(503))
+
     def idle(self) -> bool:
         return self.call is None and not self.waiting and not self.incoming.reading
--- a/woadyard/net/requests.py
+++ b/woadyard/net/requests.py
@@ -66,6 +66,13 @@
         if call.relayed is not None:
             self.stop(call.relayed, CANCELLED)
 
+    def give_up(self, call: Call) -> None:
+        """Answered now, whatever is out: the process ends."""
+        if call.open and call.relayed is None:
+            begun = any(attempt.wrote for attempt in call.attempts)
+            self.answer(call, Answer(504 if begun else 503))
+            self.turns.tell(self.turns.balancer.gone, call.id)
+
     def _expire(self, call: Call) -> None:
         """The client's deadline: what is out timed out, and the module answers."""
         for attempt in call.attempts:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -58,8 +58,13 @@
         """What callers are told when they ask whether it is ready."""
         return not (self.stopping or self.shut_out)
 
+    @property
+    def turning_away(self) -> bool:
+        """Whether requests that come whole now are refused; after the last no time is left."""
+        return self.shut_out or self.driver.now() >= self.answered_by
+
     def turn_away(self) -> Answer:
-        """The answer to a request while this sidecar is shut out."""
+        """The answer to a request that this sidecar takes no more."""
         metrics = self.driver.metrics
         metrics.taken()
         metrics.refused()
@@ -175,6 +180,7 @@
         else:
             loop.call_later(ACCEPT_S, self._stop_listening, loop.time() + ACCEPT_S)
         loop.call_later(max(ACCEPT_S + LAST_S, answered_s - ANSWER_S), self._stop_keeping)
+        loop.call_later(answered_s, self._give_up)
 
     def _stop_keeping(self) -> None:
         """What has come by now is read before those at rest are closed under it. Nobody
@@ -187,6 +193,12 @@
         for caller in [one for one in self.callers if one.idle()]:
             self.close(caller)
 
+    def _give_up(self) -> None:
+        """SIGKILL cuts off whatever is not answered by now: a deadline of before SIGTERM,
+        a body on its way, a request that is not whole."""
+        for caller in list(self.callers):
+            caller.give_up()
+
     def close(self, caller: Caller) -> None:
         self.resting.pop(caller, None)
         caller.over = True
