Leave time for an answer to what comes last after SIGTERM, however short the deadlines

Connections are kept until 0.55 s after SIGTERM at least, as new ones come for 0.4 s. Answers were due 0.4 s and the longest deadline after it: with deadlines under 0.15 s before that (0.50 s for 0.1 s, 0.45 s for 0.05 s), and a request read in between had no time at all and was refused or failed at once.

The two times are counted in one function now, the second at least 0.1 s behind the first. Nothing changes for deadlines from 0.25 s on.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -26,6 +26,7 @@
     sidecar,
     until,
 )
+from woadyard.net.server import stop_times
 from woadyard.wire import read_settings
 
 
@@ -40,6 +41,14 @@
     one.driver.retune(raw, read_settings(json.dumps(raw).encode()))
 
 
+@pytest.mark.parametrize("deadline_s", [0.05, 0.1, 0.3, 1.0, 3.0, 30.0])
+def test_what_comes_last_has_time_for_its_answer_and_that_for_its_way(deadline_s: float) -> None:
+    kept_s, answered_s = stop_times(deadline_s)
+    assert kept_s > 0.4, "new connections come until then"
+    assert answered_s - kept_s > min(0.1, deadline_s) - 1e-9
+    assert answered_s < min(3.0, deadline_s) + 0.7 - 0.1 + 1e-9, "SIGKILL"
+
+
 @on_loop
 async def test_classes_that_are_gone_put_off_no_kill() -> None:
     """SIGKILL follows by the deadlines in force, not by those of before a reload."""
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -22,12 +22,21 @@
 # and callers' connections are kept until this much time is left for it.
 DEADLINE_MOST_S, KILL_S = 3.0, 0.7
 ANSWERED_S, ANSWER_S = 0.3, 1.0
+ANSWER_LEAST_S = 0.1  # where all deadlines are short
 READ_S = 0.002  # one turn of the loop
 BACKLOG = 1024
 # Ids of requests are remembered for this long, longer than any of them runs.
 IDS_S, ID_MAX = 30.0, 128
 
 
+def stop_times(deadline_s: float) -> tuple[float, float]:
+    """By the longest deadline: until when after SIGTERM connections are kept, and when
+    the last answer is due."""
+    last_s = ACCEPT_S + LAST_S
+    answered_s = max(min(DEADLINE_MOST_S, deadline_s) + KILL_S - ANSWERED_S, last_s + ANSWER_LEAST_S)
+    return max(last_s, answered_s - ANSWER_S), answered_s
+
+
 class Server:
     """The listener and its connections."""
 
@@ -171,15 +180,14 @@
         driver, loop = self.driver, self.driver.loop
         # Of the classes in force: those of before a reload put SIGKILL off no more.
         force, classes = driver.names.classes.values(), driver.settings.classes
-        deadline_s = max(classes[number].deadline_us for number in force) / 1e6
-        answered_s = min(DEADLINE_MOST_S, deadline_s) + KILL_S - ANSWERED_S
+        kept_s, answered_s = stop_times(max(classes[number].deadline_us for number in force) / 1e6)
         self.answered_by = driver.now() + round(answered_s * 1e6)
         if self.shared:
             self.closing = True
             self._close_listener()
         else:
             loop.call_later(ACCEPT_S, self._stop_listening, loop.time() + ACCEPT_S)
-        loop.call_later(max(ACCEPT_S + LAST_S, answered_s - ANSWER_S), self._stop_keeping)
+        loop.call_later(kept_s, self._stop_keeping)
         loop.call_later(answered_s, self._give_up)
 
     def _stop_keeping(self) -> None:
