Keep tests of crossings at the stop: a late request, further signals, a stop in the start

Reviewed and found right, with no test of it before: a request that is with the system when connections stop being kept is read and answered, one that comes after the last read is never sent on; SIGTERM, SIGINT and SIGHUP (whose file has lost the class that is served) during a stop change nothing for who is served; SIGTERM before the listener is up ends the process with nothing taken. Also ruled out, by a probe: connections that linger after a 4xx are never taken for idle and closed under it, as their request never counts as whole.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -20,6 +20,7 @@
     Registry,
     Sidecar,
     Writer,
+    answer,
     on_loop,
     read_message,
     request,
@@ -132,3 +133,72 @@
         writer.close()
         await ended.wait()
         assert settled(one)
+
+
+@pytest.mark.parametrize("read", [True, False])
+@on_loop
+async def test_a_request_that_crosses_the_close_is_served_or_never_sent_on(read: bool) -> None:
+    """Its client sends it again only if the sidecar has not read it."""
+    endpoint = Endpoint()
+    async with sidecar(endpoint) as one:
+        reader, writer = await one.connect()
+        writer.write(request(rid="before"))
+        await read_message(reader)
+        one.server.stop(lambda: None)
+        with writer.get_extra_info("socket").dup() as raw:
+            raw.send(request(rid="last"))  # with the system at once
+        if read:
+            one.server._stop_keeping()
+            back = await read_message(reader)
+            assert back.body == b"ok" and back.headers["connection"] == "close"
+        else:
+            one.server._close_resting()
+            with suppress(ConnectionError):
+                assert await reader.read() == b""
+        await until(lambda: not one.server.callers)
+        assert [one.headers["x-request-id"] for one in endpoint.got] == ["before", "last"][: 1 + read]
+        assert settled(one)
+        writer.close()
+
+
+@pytest.mark.parametrize("further", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+@on_loop
+async def test_a_further_signal_changes_nothing_for_who_is_served(
+    tmp_path: Path, further: signal.Signals
+) -> None:
+    release = asyncio.Event()
+
+    async def slow(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        await release.wait()
+        writer.write(answer())
+
+    endpoint, registry = Endpoint(slow), Registry()
+    async with await endpoint.start(), await registry.start():
+        port = free_port()
+        process = await start(config(tmp_path, registry, endpoint, listen=f"127.0.0.1:{port}"))
+        assert process.stderr is not None
+        reader, writer = await open_at(port)
+        writer.write(request(rid="held"))
+        await endpoint.arrived.acquire()
+        process.send_signal(signal.SIGTERM)
+        others = {**SETTINGS, "classes": SETTINGS["classes"][1:]}  # its class is gone
+        config(tmp_path, registry, endpoint, listen=f"127.0.0.1:{port}", settings=others)
+        process.send_signal(further)
+        while further == signal.SIGHUP and b"reloaded" not in await process.stderr.readline():
+            pass  # discovery says nothing, and that is told
+        release.set()
+        assert (await read_message(reader)).body == b"ok"
+        writer.close()
+        await process.communicate()
+        assert process.returncode == 0
+
+
+@on_loop
+async def test_sigterm_before_it_listens_ends_it_at_once(tmp_path: Path) -> None:
+    endpoint, registry = Endpoint(), Registry()
+    async with await endpoint.start(), await registry.start():
+        process = await start(config(tmp_path, registry, endpoint))
+        await registry.asked.get()  # it waits a moment for its first list
+        process.send_signal(signal.SIGTERM)
+        await process.communicate()
+        assert process.returncode in (0, -signal.SIGTERM), "nothing was taken yet"
