--- /dev/null
+++ b/tests/test_starting.py
@@ -0,0 +1,134 @@
+"""The time until a process is ready, however discovery and its callers are."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.process import Process, call, config, free_port, start
+from tests.process import ready as at_door
+from tests.sockets import (
+    SETTINGS,
+    Endpoint,
+    Listener,
+    Reader,
+    Registry,
+    Writer,
+    on_loop,
+    read_message,
+    request,
+)
+
+READY_S = 10.0  # nine in ten restarted processes have to be ready by then
+
+
+async def ready(port: int) -> None:
+    """As a front asks: on a new connection each time, until the first 200."""
+    while True:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, TimeoutError):
+            async with asyncio.timeout(1.0):
+                if (await call(port, "GET", "/health/ready")).start.startswith("HTTP/1.1 200"):
+                    return
+        await asyncio.sleep(0.02)
+
+
+async def served(port: int) -> None:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(request())
+    assert (await read_message(reader)).body == b"ok"
+    writer.close()
+
+
+async def end(process: Process) -> None:
+    process.kill()
+    await process.communicate()
+
+
+class Dripping(Listener):
+    """Discovery that sends a byte now and then, and no list."""
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            while True:
+                writer.write(b"H")
+                await asyncio.sleep(0.1)
+
+
+@contextlib.asynccontextmanager
+async def deaf(how: str) -> AsyncIterator[Listener]:
+    """Discovery that never tells a list."""
+    if how in ("silent", "dripping"):
+        telling = Registry() if how == "silent" else Dripping()
+        async with await telling.start():
+            yield telling
+        return
+    listener = Listener()
+    if how == "down":
+        listener.port = free_port()
+        yield listener
+        return
+    with contextlib.ExitStack() as stack:  # its queue is full: no connection comes up
+        full = stack.enter_context(socket.socket())
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        listener.port = full.getsockname()[1]
+        for _ in range(4):
+            one = stack.enter_context(socket.socket())
+            one.setblocking(False)
+            one.connect_ex(("127.0.0.1", listener.port))
+        yield listener
+
+
+@pytest.mark.parametrize("how", ["down", "silent", "dripping", "connecting"])
+@pytest.mark.parametrize("discovery", ["push", "ask"])
+@on_loop
+async def test_it_is_ready_in_time_whatever_discovery_does(tmp_path: Path, how: str, discovery: str) -> None:
+    endpoint, port = Endpoint(), free_port()
+    async with contextlib.AsyncExitStack() as stack:
+        registry = await stack.enter_async_context(deaf(how))
+        await stack.enter_async_context(await endpoint.start())
+        changes: dict[str, Any] = {"settings": {**SETTINGS, "discovery": discovery}}
+        async with asyncio.timeout(READY_S):
+            process = await start(config(tmp_path, registry, endpoint, listen=f"127.0.0.1:{port}", **changes))
+            stack.push_async_callback(end, process)
+            await ready(port)
+        await served(port)
+
+
+@on_loop
+async def test_it_is_ready_in_time_without_a_list(tmp_path: Path) -> None:
+    port = free_port()
+    async with contextlib.AsyncExitStack() as stack:
+        registry = await stack.enter_async_context(deaf("down"))
+        async with asyncio.timeout(READY_S):
+            process = await start(config(tmp_path, registry, listen=f"127.0.0.1:{port}"))
+            stack.push_async_callback(end, process)
+            await ready(port)
+
+
+@on_loop
+async def test_one_that_takes_over_is_ready_in_time_though_discovery_is_silent(tmp_path: Path) -> None:
+    endpoint, registry = Endpoint(), Registry()
+    async with contextlib.AsyncExitStack() as stack:
+        listening = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        port = listening.getsockname()[1]
+        await stack.enter_async_context(await endpoint.start())
+        await stack.enter_async_context(await registry.start())
+        environ = {
+            **config(tmp_path, registry, endpoint, listen=f"127.0.0.1:{port}"),
+            "LB_ACCEPT_FD": str(listening.fileno()),
+        }
+        for _ in range(2):
+            async with asyncio.timeout(READY_S):
+                door = free_port()
+                process = await start({**environ, "LB_CONSOLE": f"127.0.0.1:{door}"}, listening.fileno())
+                stack.push_async_callback(end, process)
+                await at_door(door)
+                await ready(port)
+        await served(port)
