Don't let a wait from before an address moved end the new address's watch

Cause: where lists are asked for, a failed call sets a timer in the module; SIGHUP with a new address begins a watch at once (`Discovery.move`). The timer then asked for a watch all the same (`Driver._do`, `Watch`), which closed the new one, perhaps in its turn at a crowded service, and began another: one more call, and one that could be refused while what the new address has binds 4 s after the signal. The same with two such timers.

`Watch(True)` is passed over while a watch is open or on its way.

--- a/tests/test_discovery_chains.py
+++ b/tests/test_discovery_chains.py
@@ -230,3 +230,26 @@
     chain = Chain(monkeypatch, 10.0)
     chain.after(late)
     assert len(chain.begun) == 1
+
+
+def beats(chain: Chain, count: int) -> None:
+    """The watch lives on for so long."""
+    for _ in range(count):
+        chain.go_to(chain.now + 2.0)
+        chain.begun[-1].data_received(b"1\r\n\n\r\n")
+
+
+@pytest.mark.parametrize("period_s", PERIODS)
+def test_a_wait_from_before_the_address_moved_ends_no_good_watch(
+    monkeypatch: pytest.MonkeyPatch, period_s: float
+) -> None:
+    """The module, or discovery itself, was about to ask again at the old address."""
+    chain = Chain(monkeypatch, period_s)
+    chain.after()
+    chain.begun[-1].connection_lost(ConnectionResetError())
+    chain.discovery.move("127.0.0.1:2")
+    chain.discovery.move("127.0.0.1:3")
+    chain.after()
+    begun = len(chain.begun)
+    beats(chain, 4)
+    assert len(chain.begun) == begun and not chain.begun[-1].done
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -162,6 +162,11 @@
         """Of the replica in use."""
         return self.replicas[self.turn]
 
+    @property
+    def watching(self) -> bool:
+        """A watch is open, or on its way."""
+        return self.stream is not None and not self.stream.done
+
     @property
     def generation(self) -> int:
         """Of the list held."""
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -238,7 +238,8 @@
             case Close(endpoint):
                 self.upstream.free(endpoint)
             case Watch(on):
-                if self.discovery is not None:
+                # Asked for after a wait: by now a new address may have begun another one.
+                if self.discovery is not None and not (on and self.discovery.watching):
                     self.discovery.watch(on)
             case Fetch():
                 if self.discovery is not None:
