Pass over a call for the list that fails beside a good watch

Cause: `Discovery.lost` took any stream's end for the loss of discovery: it said so in the log, turned to another replica and told the module, which then had the good watch closed and begun anew, at that replica.

While a watch is open or on its way only its own end counts. Ruled out: streams that were replaced (`done`) say nothing at their end, so they don't turn the replica.

--- a/tests/test_discovery_chains.py
+++ b/tests/test_discovery_chains.py
@@ -253,3 +253,18 @@
     begun = len(chain.begun)
     beats(chain, 4)
     assert len(chain.begun) == begun and not chain.begun[-1].done
+
+
+@pytest.mark.parametrize("period_s", PERIODS)
+def test_a_call_for_the_list_that_fails_beside_a_good_watch_changes_nothing(
+    monkeypatch: pytest.MonkeyPatch, period_s: float
+) -> None:
+    chain = Chain(monkeypatch, period_s)
+    chain.discovery.replicas = ["127.0.0.1:1", "127.0.0.1:2"]
+    chain.after()
+    begun, address = len(chain.begun), chain.discovery.address
+    chain.discovery.fetch()  # and it is never answered
+    beats(chain, 4)
+    assert len(chain.begun) == begun and not chain.begun[-1].done
+    assert not chain.discovery.out and chain.discovery.address == address
+    assert not chain.driver.balancer.membership.unheard
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -269,7 +269,7 @@
         self.held.take(name, self.loop.time())
 
     def lost(self, stream: Stream) -> None:
-        if self.closed:
+        if self.closed or self.watching:  # beside a watch, a call that failed says nothing
             return
         if stream is self.stream:
             self.held.heard = max(self.held.heard, stream.heard)
