Go on asking discovery when SIGHUP says that lists are pushed, or no longer

Cause: `Reload` gave new settings to the module alone; `Discovery.pushed` stayed as at the start. From asked for to pushed, neither asked again once a watch was lost: the module does so only where lists are asked for (`Membership.ask`, `Balancer.timer`), discovery only where they are pushed (`lost`); seen as "never" in 200 s. The other way round the shared service was asked again every 0.2 s at most by each sidecar.

`Discovery.retune` heeds it; where a wait of the module's falls away it begins the watch.

--- a/tests/test_discovery_chains.py
+++ b/tests/test_discovery_chains.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from random import Random
 from typing import Any, cast
 from unittest.mock import Mock
@@ -16,7 +17,9 @@
 
 from tests.sockets import SETTINGS
 from tests.test_discovery import HEAD, Clock
+from woadyard.__main__ import Reload
 from woadyard.net import discovery as net
+from woadyard.net.config import Config
 from woadyard.net.discovery import Discovery, Stream
 from woadyard.net.driver import Driver
 from woadyard.net.upstream import Upstream
@@ -25,6 +28,12 @@
 Event = Callable[["Chain", Stream], None]
 
 
+def settings_of(period_s: float) -> dict[str, Any]:
+    """With lists that are asked for within this period, or pushed."""
+    within = {**SETTINGS["invariants"], "ask-within-us": int((period_s or 10.0) * 1e6)}
+    return {**SETTINGS, "discovery": "ask" if period_s else "push", "invariants": within}
+
+
 class Longest(Random):
     """Draws what makes each wait as long as it may be."""
 
@@ -41,8 +50,7 @@
         self.begun: list[Stream] = []
         self.told_at: list[float] = []
         monkeypatch.setattr("woadyard.net.turns.now_us", lambda: round(self.now * 1e6))
-        asked = {"discovery": "ask", "invariants": {"ask-within-us": int(period_s * 1e6)}} if period_s else {}
-        raw = {**SETTINGS, **asked}
+        raw = settings_of(period_s)
         loop = cast(asyncio.AbstractEventLoop, self)
         settings = read_settings(json.dumps(raw).encode())
         self.driver = Driver(loop, 1, settings, raw, Upstream(loop, Driver.now, 64))
@@ -268,3 +276,27 @@
     assert len(chain.begun) == begun and not chain.begun[-1].done
     assert not chain.discovery.out and chain.discovery.address == address
     assert not chain.driver.balancer.membership.unheard
+
+
+@pytest.mark.parametrize(("before_s", "after_s"), [(0.0, 10.0), (10.0, 0.0)])
+@pytest.mark.parametrize("failing", [True, False])
+def test_lists_that_are_pushed_from_now_on_or_no_longer_go_on_to_come(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, before_s: float, after_s: float, failing: bool
+) -> None:
+    """SIGHUP may say so, be it while a watch is open or just after one was lost."""
+    chain = Chain(monkeypatch, before_s)
+    chain.after()
+    if failing:
+        chain.begun[-1].connection_lost(ConnectionResetError())
+    force = {"discovery": "127.0.0.1:1", "settings": chain.driver.raw}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**force, "settings": settings_of(after_s)}))
+    config = cast(Config, Mock(path=str(path), raw=force))
+    Reload(config, chain.driver, chain.discovery, Mock())()
+    if not failing:
+        chain.begun[-1].connection_lost(ConnectionResetError())
+    assert chain.after(refused, busy) <= (2.2 if after_s else 0.6)
+    outage = [refused] * 20
+    chain.begun[-1].connection_lost(ConnectionResetError())
+    taken = chain.after(*outage)
+    assert taken > 20.0 if after_s else taken < 5.0
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -69,6 +69,7 @@
         self.force = raw
         self.driver.retune(raw["settings"], settings, locality(raw))
         self.guard.retune(shrink_most(raw))
+        self.discovery.retune(not settings.asks_discovery)
         self.discovery.move(str(raw["discovery"]))
         if (again := shared(raw)) is not None and self.driver.shared is not None:
             self.driver.shared.eject_share = again.eject_share
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -135,10 +135,9 @@
         listen: Listen,
         rng: random.Random,
     ) -> None:
-        self.loop, self.path, self.pushed = loop, path, pushed
+        self.loop, self.path = loop, path
         self.listen, self.rng = listen, rng
-        waits = (PUSHED_RETRY_S, PUSHED_RETRY_MOST_S) if pushed else (RETRY_S, RETRY_MOST_S)
-        self.backoff = Backoff(rng, *waits)
+        self._pace(pushed)
         self.told = asyncio.Event()  # a list, since the start
         self.on_failed: Callable[[], None] = lambda: None
         self.on_anew: Callable[[], None] = lambda: None  # generations count anew from the next list
@@ -152,6 +151,11 @@
         self.closed = False
         self._settle(address)
 
+    def _pace(self, pushed: bool) -> None:
+        self.pushed = pushed
+        waits = (PUSHED_RETRY_S, PUSHED_RETRY_MOST_S) if pushed else (RETRY_S, RETRY_MOST_S)
+        self.backoff = Backoff(self.rng, *waits)
+
     def _settle(self, address: str) -> None:
         """One of the replicas, so that a fleet is spread over them."""
         self.named, self.replicas = address, [part.strip() for part in address.split(",")]
@@ -176,6 +180,13 @@
     def generation(self, known: int) -> None:
         self.held.name = Named(generation=known)
 
+    def retune(self, pushed: bool) -> None:
+        """Whether lists are pushed from now on."""
+        if pushed != self.pushed:
+            self._pace(pushed)
+            if pushed and not self.watching:
+                self.watch(True)  # the module, which was to ask again, does so no more
+
     def move(self, address: str) -> None:
         """Discovery has other addresses. A watch that was asked for goes on
         there, and is asked for again until a first list has come."""
