Let a large body wait for its turn behind an answer that is read slowly

Cause: `Caller.next` serves nobody while its caller reads no answers (`clogged`), but took a large body that was coming (`_load`) wherever no call was under way. With a whole request still waiting between the two, the large one was sent on first, and the caller, which tells answers apart by their order alone, got them in the wrong one.

Seen: three requests ahead, the first answer 60 kB and unread, the third with 1 MiB of body: the third was taken while the second waited.

Now a body is loaded only once nothing waits before it. Ruled out: a body that piles up meanwhile, as reading stands still while anything waits.

--- a/tests/test_bad_bytes.py
+++ b/tests/test_bad_bytes.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import socket
 
 import pytest
 
@@ -164,3 +165,38 @@
         assert owes_nothing(one)
         writer.close()
         await until(lambda: not one.server.callers)
+
+
+@on_loop
+async def test_a_large_body_waits_for_its_turn_behind_an_answer_that_is_read_slowly() -> None:
+    """One request unanswered before it, and no place to write an answer to."""
+
+    async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        rid = message.headers["x-request-id"].encode()
+        writer.write(answer(body=rid * 30_000 if rid == b"r1" else rid))
+
+    endpoint = Endpoint(reply)
+    async with sidecar(endpoint) as one:
+        slow = socket.socket()
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(slow, ("127.0.0.1", one.port))
+        await until(lambda: bool(one.server.callers))
+        (caller,) = one.server.callers
+        assert caller.transport is not None
+        ours = caller.transport.get_extra_info("socket")
+        ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        large = request("pay", LARGE, rid="r3")
+        await loop.sock_sendall(slow, request(rid="r1") + request(rid="r2") + large[:2000])
+        await until(lambda: caller.clogged and caller.call is None)
+        for _ in range(5):
+            await asyncio.sleep(0)  # its turn, were it the next
+        assert caller.upload is None and len(caller.waiting) == 1
+        reader, writer = await asyncio.open_connection(sock=slow)
+        writer.write(large[2000:])
+        assert [len((await read_message(reader)).body) for _ in range(3)] == [60_000, 2, 2]
+        assert [message.headers["x-request-id"] for message in endpoint.got] == ["r1", "r2", "r3"]
+        assert owes_nothing(one)
+        writer.close()
+        await until(lambda: not one.server.callers)
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -210,8 +210,8 @@
             else:
                 self.call = asked
                 self.requests.take(asked)
-        ended = self.over or self.refused or self.shedding
-        if self.incoming.large and self.call is None and not (ended or self.upload):
+        due = not (self.waiting or self.over or self.refused or self.shedding or self.upload)
+        if due and self.incoming.large and self.call is None:
             self._load()
         self._pace()
 
