Leave a caller its place while a byte of its answer is unwritten

Cause: a caller is at rest as soon as its answer is handed to the transport. In a crowd `Server.give_way` closed the one longest at rest and took it out of `callers`, also where its answer was still being read slowly: its descriptor stays open until the last byte has left (up to 10 s), counted by nobody. Each newcomer could leave one more behind, past the limit, and on_end could be called under it at the stop.

Now whoever has unwritten bytes does not give way, and stays in the count.

--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -363,9 +363,13 @@
         self._pace()
         if self.transport.can_write_eof():
             self.transport.write_eof()
-        waits = self.server.waits
-        unwritten = self.transport.get_write_buffer_size()  # of an answer that is read slowly
-        self.loop.call_later(waits.relay_s if unwritten else waits.linger_s, self.transport.abort)
+        waits = self.server.waits  # an answer that is read slowly has its time
+        self.loop.call_later(waits.linger_s if self.written else waits.relay_s, self.transport.abort)
+
+    @property
+    def written(self) -> bool:
+        """Whether the system has all that was answered."""
+        return self.transport is not None and not self.transport.get_write_buffer_size()
 
     def idle(self) -> bool:
         return self.call is None and not self.waiting and not self.incoming.reading
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from itertools import chain
 
 from woadyard.net.asked import MAX_U63, BadRequestError
 from woadyard.net.caller import Caller
@@ -130,12 +131,12 @@
 
     def give_way(self) -> bool:
         """One socket less: the caller longest at rest, or else the first to come of
-        those who owe a request for long. Whoever is served is left alone."""
-        caller = next(iter(self.resting), None)
-        if caller is None:
-            limit = self.driver.loop.time() - self.waits.crowd_s
-            owing = (one for one in self.callers if one.patience is not None and one.call is None)
-            caller = next((one for one in owing if one.owed_since <= limit), None)
+        those who owe a request for long. Whoever is served is left alone, as long as
+        a byte of its answer is unwritten."""
+        limit = self.driver.loop.time() - self.waits.crowd_s
+        owing = (one for one in self.callers if one.patience is not None and one.call is None)
+        late = (one for one in owing if one.owed_since <= limit)
+        caller = next((one for one in chain(self.resting, late) if one.written), None)
         if caller is None:
             return False
         self.close(caller)
