Let refused peers give way in a crowd, before those at rest

Cause: after a 4xx a connection stays open for up to 1 s, so that its answer is not reset away, and `give_way` passed over it: it is neither at rest nor owes anything.

Now whoever was answered for good and has had 0.1 s to read that goes first, even before those at rest, whose next request may be on its way. Sooner it is left alone.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tests.sockets import (
+    TIMEOUT_S,
     Endpoint,
     Message,
     Registry,
@@ -68,6 +69,43 @@
         await until(lambda: not one.server.callers)
 
 
+@on_loop
+async def test_refused_peers_that_hold_on_give_way_to_who_asks() -> None:
+    async with sidecar(Endpoint()) as one:
+        one.server.most = 8  # 6 of them for callers
+        one.server.waits.linger_s, one.server.waits.answered_s = TIMEOUT_S, 0.0
+        crowd = [await one.connect() for _ in range(6)]
+        for reader, writer in crowd:
+            writer.write(b"nonsense\r\n\r\n")
+            assert (await read_message(reader)).start.split()[1] == "400"
+        assert len(one.server.callers) == 6
+        resting, resting_writer, _ = await joined(one)
+        resting_writer.write(request(rid="rests"))
+        assert (await read_message(resting)).body == b"ok"
+        assert (await one.ask(request(rid="good"))).body == b"ok"
+        resting_writer.write(request(rid="again"))
+        assert (await read_message(resting)).body == b"ok", "who was refused goes before who rests"
+        for _, writer in [*crowd, (None, resting_writer)]:
+            writer.close()
+        await until(lambda: not one.server.callers)
+
+
+@on_loop
+async def test_a_refused_peer_has_a_moment_to_read_its_answer_whoever_comes() -> None:
+    async with sidecar(Endpoint()) as one:
+        one.server.most = 2  # one of them for callers
+        one.server.waits.linger_s = one.server.waits.answered_s = TIMEOUT_S
+        reader, writer, caller = await joined(one)
+        writer.write(b"nonsense\r\n\r\n")
+        assert (await read_message(reader)).start.split()[1] == "400"
+        late, _ = await one.connect()
+        with contextlib.suppress(ConnectionError):
+            assert await late.read() == b""
+        assert list(one.server.callers) == [caller]
+        writer.close()
+        await until(lambda: not one.server.callers)
+
+
 @pytest.mark.parametrize("adopted", [False, True], ids=["own", "adopted"])
 @on_loop
 async def test_small_writes_leave_at_once_on_every_side(adopted: bool) -> None:
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -363,6 +363,7 @@
         self._pace()
         if self.transport.can_write_eof():
             self.transport.write_eof()
+        self.server.linger(self)
         waits = self.server.waits  # an answer that is read slowly has its time
         self.loop.call_later(waits.linger_s if self.written else waits.relay_s, self.transport.abort)
 
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -39,6 +39,7 @@
         self.buffer = memoryview(bytearray(READ_SIZE))  # one read at a time, whoever reads
         self.callers: dict[Caller, None] = {}  # the first to come first
         self.resting: dict[Caller, float] = {}  # between requests since, the longest first
+        self.lingering: dict[Caller, float] = {}  # answered for good since, the longest first
         self.sweeping: asyncio.TimerHandle | None = None
         self.ids: dict[bytes, float] = {}  # of requests taken, the oldest first
         self.stopping = False  # told to
@@ -121,6 +122,7 @@
     def left(self, caller: Caller) -> None:
         self.callers.pop(caller, None)
         self.resting.pop(caller, None)
+        self.lingering.pop(caller, None)
         if self.stopping and self.listener is None and not self.callers:
             self.on_end()
 
@@ -130,13 +132,15 @@
             self.sweeping = self.driver.loop.call_later(self.waits.rest_s, self._sweep)
 
     def give_way(self) -> bool:
-        """One socket less: the caller longest at rest, or else the first to come of
-        those who owe a request for long. Whoever is served is left alone, as long as
-        a byte of its answer is unwritten."""
-        limit = self.driver.loop.time() - self.waits.crowd_s
+        """One socket less: who had time to read its last answer, or else the caller longest
+        at rest, or else the first to come of those who owe a request for long. Whoever is
+        served is left alone, as long as a byte of its answer is unwritten."""
+        now = self.driver.loop.time()
+        limit, owed = now - self.waits.answered_s, now - self.waits.crowd_s
+        lingering = (one for one, since in self.lingering.items() if since <= limit)
         owing = (one for one in self.callers if one.patience is not None and one.call is None)
-        late = (one for one in owing if one.owed_since <= limit)
-        caller = next((one for one in chain(self.resting, late) if one.written), None)
+        late = (one for one in owing if one.owed_since <= owed)
+        caller = next((one for one in chain(lingering, self.resting, late) if one.written), None)
         if caller is None:
             return False
         self.close(caller)
@@ -184,8 +188,12 @@
         for caller in [one for one in self.callers if one.idle()]:
             self.close(caller)
 
+    def linger(self, caller: Caller) -> None:
+        self.lingering[caller] = self.driver.loop.time()
+
     def close(self, caller: Caller) -> None:
         self.resting.pop(caller, None)
+        self.lingering.pop(caller, None)
         caller.over = True
         if caller.transport is not None:
             caller.transport.close()
--- a/woadyard/net/waits.py
+++ b/woadyard/net/waits.py
@@ -20,6 +20,8 @@
     crowd_s: float = 2.0
     # How long a refused connection may take to read its 4xx before it is cut.
     linger_s: float = 1.0
+    # Under pressure it is cut once it had this long.
+    answered_s: float = 0.1
 
 
 # Callers send 64 kB a second.
