Bound the number of request ids that are remembered

Cause: `Server.claim` kept each id for 30 s whatever their number. A flood of small requests with ids of up to 128 bytes grew by some 250 bytes each: at 5,000 a second about 40 MB, more than the smallest limit on memory.

Now the latest 32,768 are kept, some 8 MB at the very most; up to 1,000 requests a second nothing changes. Ruled out: ids of requests refused as bad are not remembered.

Measured: failed without the bound, passes with.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -106,6 +106,18 @@
         await until(lambda: not one.server.callers)
 
 
+@on_loop
+async def test_ids_that_are_remembered_are_bounded_in_number(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("woadyard.net.server.IDS_MOST", 3)
+    async with sidecar(Endpoint()) as one:
+        for n in range(5):
+            assert (await one.ask(request(rid=f"r{n}"))).body == b"ok"
+        for bad in (request("none", rid="bad"), request(rid="x" * 129), request(deadline_ms=-1, rid="bad")):
+            assert (await one.ask(bad)).start.split()[1][0] == "4"
+        assert list(one.server.ids) == [b"r2", b"r3", b"r4"], "the latest, and none of a bad request"
+        assert (await one.ask(request(rid="r4"))).start.split()[1] == "409"
+
+
 @pytest.mark.parametrize("adopted", [False, True], ids=["own", "adopted"])
 @on_loop
 async def test_small_writes_leave_at_once_on_every_side(adopted: bool) -> None:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -27,6 +27,8 @@
 BACKLOG = 1024
 # Ids of requests are remembered for this long, longer than any of them runs.
 IDS_S, ID_MAX = 30.0, 128
+# And no more than these, the latest: guards memory against floods of them.
+IDS_MOST = 32_768
 
 
 class Server:
@@ -79,6 +81,8 @@
         if name in self.ids:
             raise BadRequestError(409, "X-Request-Id was taken before")
         self.ids[name] = now
+        if len(self.ids) > IDS_MOST:
+            del self.ids[next(iter(self.ids))]
 
     async def listen(self, host: str, port: int) -> int:
         loop = self.driver.loop
