Keep to the system's limit on descriptors, and to half of all beside a second process

Causes, both in the sum over what a process holds: - only `limits.sockets` was heeded. Where the system gives fewer (RLIMIT_NOFILE), callers filled them all: accept fails with EMFILE, and libuv then takes and closes all that wait; the door closed its calls unanswered and no call to discovery or endpoint could begin. - `Server.share` halved what both sides share, but each process has its listener, watch, loop and door besides: two of 256 could hold 288, and are one to the limits.

Now the lower of both limits holds, and a half is a half of all descriptors.

Left: callers that came within the last 2 s owe nothing yet and are not closed when a second process starts, so for up to 2.5 s after that both may hold more than together allowed, if a crowd comes in that very moment.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -4,10 +4,16 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
 import socket
+import sys
+from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
+from tests.process import Process, call, config, free_port, ready
 from tests.sockets import (
     TIMEOUT_S,
     Endpoint,
@@ -17,12 +23,14 @@
     Writer,
     answer,
     on_loop,
+    push,
     read_message,
     request,
     sidecar,
     until,
 )
 from woadyard.net.caller import Caller
+from woadyard.net.console import VISITORS_MOST
 
 
 async def joined(one: Sidecar) -> tuple[asyncio.StreamReader, Writer, Caller]:
@@ -118,6 +126,17 @@
         assert (await one.ask(request(rid="r4"))).start.split()[1] == "409"
 
 
+@on_loop
+async def test_two_processes_together_stay_within_the_limit() -> None:
+    """Each has its own listener, watch and door besides the sockets of both sides."""
+    async with sidecar(Endpoint()) as one:
+        one.server.whole, one.server.aside = 256 - 64, 64
+        one.server.share(0.5)
+        assert 2 * (one.server.most + 64) == 256 and one.upstream.most == one.server.most
+        one.server.share(1.0)
+        assert one.server.most + 64 == 256
+
+
 @pytest.mark.parametrize("adopted", [False, True], ids=["own", "adopted"])
 @on_loop
 async def test_small_writes_leave_at_once_on_every_side(adopted: bool) -> None:
@@ -140,3 +159,91 @@
             ours = each.get_extra_info("socket")
             assert ours.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
         writer.close()
+
+
+# --- The whole process -----------------------------------------------------------------
+
+
+def descriptors(process: Process) -> int:
+    return len(os.listdir(f"/proc/{process.pid}/fd"))
+
+
+@contextlib.contextmanager
+def crowd(size: int, *ports: int) -> Iterator[list[socket.socket]]:
+    """Connections that bring nothing, begun without waiting for one another."""
+    with contextlib.ExitStack() as stack:
+        sockets = []
+        for n in range(size):
+            one = stack.enter_context(socket.socket())
+            one.setblocking(False)
+            one.connect_ex(("127.0.0.1", ports[n % len(ports)]))
+            sockets.append(one)
+        yield sockets
+
+
+async def limited(environ: dict[str, str], most: int) -> Process:
+    """The program where the system gives it so many descriptors."""
+    script = 'ulimit -n "$0"; exec "$@"'
+    return await asyncio.create_subprocess_exec(
+        "/bin/sh", "-c", script, str(most), sys.executable, "-m", "woadyard",
+        env=environ, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+
+
+def ended(one: socket.socket) -> bool:
+    try:
+        return not one.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except ConnectionError:
+        return True
+
+
+async def asked(port: int) -> Message:
+    """The answer to a request that is sent again on a new connection until it gets one."""
+    for n in itertools.count():
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            with contextlib.closing(writer):
+                writer.write(request(rid=f"good-{n}"))
+                return await read_message(reader)
+        await asyncio.sleep(0.01)
+    raise AssertionError
+
+
+@pytest.mark.parametrize(("told", "given"), [(128, 1024), (1024, 128)], ids=["told", "given"])
+@on_loop
+async def test_a_crowd_leaves_discovery_endpoints_and_the_door_their_descriptors(
+    tmp_path: Path, told: int, given: int
+) -> None:
+    """It comes while discovery is down, to the callers' side and to the door; the settings
+    or the system say how many descriptors there are."""
+    endpoint, registry = Endpoint(), Registry()
+    registry.port, port, door = free_port(), free_port(), free_port()
+    environ = {
+        **config(tmp_path, registry, endpoint, limits={"sockets": told}),
+        "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONSOLE": f"127.0.0.1:{door}",
+    }  # fmt: skip
+    async with await endpoint.start():
+        config(tmp_path, registry, endpoint, limits={"sockets": told})  # it has its port now
+        process = await limited(environ, given)
+        try:
+            await ready(door)
+            with crowd(300, port) as callers, crowd(2 * VISITORS_MOST, door):
+                peak = 0
+                while sum(ended(one) for one in callers) < 200:
+                    peak = max(peak, descriptors(process))
+                    await asyncio.sleep(0)
+                assert (await call(door, "GET", "/_ready")).start.startswith("HTTP/1.1 200")
+                async with await registry.start(registry.port):
+                    _, watch = await registry.asked.get()
+                    push(watch, 2, True, endpoint.entry())
+                    assert (await asked(port)).body == b"ok"
+                    assert peak <= min(told, given) - 16, "a quarter of what both sides share"
+                    process.terminate()
+                    await process.wait()
+        finally:
+            if process.returncode is None:
+                process.kill()
+            _, errors = await process.communicate()
+        assert process.returncode == 0 and b"Traceback" not in errors
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import random
+import resource
 import signal
 import sys
 from collections.abc import Callable
@@ -215,12 +216,18 @@
     return seats
 
 
+def given() -> int:
+    """Descriptors that the system lets this process have, whatever its file says."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return SOCKETS_DEFAULT if soft == resource.RLIM_INFINITY else soft
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     # Both sides share the sockets, less some for the listener, the watch and the loop.
     doors = bool(config.console) + bool(config.shared)
     aside = OTHER_SOCKETS + doors * DESCRIPTORS
-    most = max(16, min(config.sockets, SOCKETS_DEFAULT) - aside)
+    most = max(16, min(config.sockets, SOCKETS_DEFAULT, given()) - aside)
     upstream = Upstream(loop, Driver.now, most)
     raw = config.raw["settings"]
     # Counts are kept where a door can show them.
@@ -244,7 +251,7 @@
     )
     loop.add_signal_handler(signal.SIGHUP, Reload(config, driver, discovery, guard))
     recorder = open_recorder(config, driver, name)
-    server = Server(driver, most)
+    server = Server(driver, most, aside)
     reporter = open_reporter(config, driver, name, discovery, server)
     open_plans(driver, reporter, recorder)
     seats = take_seat(config, loop, server.share)
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -34,10 +34,11 @@
 class Server:
     """The listener and its connections."""
 
-    def __init__(self, driver: Driver, most: int = 512) -> None:
+    def __init__(self, driver: Driver, most: int = 512, aside: int = 0) -> None:
         self.driver = driver
         self.waits = Waits()
         self.most = self.whole = most  # sockets of both sides
+        self.aside = aside  # what each process has besides
         self.buffer = memoryview(bytearray(READ_SIZE))  # one read at a time, whoever reads
         self.callers: dict[Caller, None] = {}  # the first to come first
         self.resting: dict[Caller, float] = {}  # between requests since, the longest first
@@ -118,8 +119,10 @@
         return both > self.most or len(self.callers) > max(1, CALLERS_PART * self.most)
 
     def share(self, part: float) -> None:
-        """With a second process of this sidecar each has half of the sockets."""
-        self.most = self.driver.upstream.most = max(16, int(self.whole * part))
+        """With a second process of this sidecar each has half of all descriptors,
+        and in its half what each has besides the sockets of both sides."""
+        most = int((self.whole + self.aside) * part) - self.aside
+        self.most = self.driver.upstream.most = max(16, most)
         while self._crowded() and self.give_way():
             pass
 
