--- /dev/null
+++ b/tests/test_crowds.py
@@ -0,0 +1,249 @@
+"""Crowds that hold on to their connections: what is kept for others, and who gives way."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import os
+import socket
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.process import Process, call, config, free_port, ready
+from tests.sockets import (
+    TIMEOUT_S,
+    Endpoint,
+    Message,
+    Registry,
+    Sidecar,
+    Writer,
+    answer,
+    on_loop,
+    push,
+    read_message,
+    request,
+    sidecar,
+    until,
+)
+from woadyard.net.caller import Caller
+from woadyard.net.console import VISITORS_MOST
+
+
+async def joined(one: Sidecar) -> tuple[asyncio.StreamReader, Writer, Caller]:
+    """A connection of its own, and the sidecar's side of it."""
+    before = set(one.server.callers)
+    reader, writer = await one.connect()
+    await until(lambda: bool(one.server.callers.keys() - before))
+    (caller,) = one.server.callers.keys() - before
+    return reader, writer, caller
+
+
+@on_loop
+async def test_who_reads_slowly_keeps_its_connection_and_its_place_in_the_count() -> None:
+    """Its descriptor is open until the last byte is read: whoever takes its place is one too many."""
+    body = b"x" * 60_000
+
+    async def large(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(answer(body=body))
+
+    async with sidecar(Endpoint(large)) as one:
+        one.server.most = 2  # one of them for callers
+        slow = socket.socket()
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(slow, ("127.0.0.1", one.port))
+        await until(lambda: bool(one.server.callers))
+        (caller,) = one.server.callers
+        assert caller.transport is not None
+        ours = caller.transport.get_extra_info("socket")
+        ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        await loop.sock_sendall(slow, request())
+        await until(lambda: caller in one.server.resting)
+        assert caller.transport.get_write_buffer_size()
+        late, _ = await one.connect()
+        with contextlib.suppress(ConnectionError):
+            assert await late.read() == b"", "nobody can give way"
+        assert list(one.server.callers) == [caller] and not caller.over
+        reader, writer = await asyncio.open_connection(sock=slow)
+        assert (await read_message(reader)).body == body
+        writer.write(request(rid="r2"))
+        assert (await read_message(reader)).body == body
+        writer.close()
+        await until(lambda: not one.server.callers)
+
+
+@on_loop
+async def test_refused_peers_that_hold_on_give_way_to_who_asks() -> None:
+    async with sidecar(Endpoint()) as one:
+        one.server.most = 8  # 6 of them for callers
+        one.server.waits.linger_s, one.server.waits.answered_s = TIMEOUT_S, 0.0
+        crowd = [await one.connect() for _ in range(6)]
+        for reader, writer in crowd:
+            writer.write(b"nonsense\r\n\r\n")
+            assert (await read_message(reader)).start.split()[1] == "400"
+        assert len(one.server.callers) == 6
+        resting, resting_writer, _ = await joined(one)
+        resting_writer.write(request(rid="rests"))
+        assert (await read_message(resting)).body == b"ok"
+        assert (await one.ask(request(rid="good"))).body == b"ok"
+        resting_writer.write(request(rid="again"))
+        assert (await read_message(resting)).body == b"ok", "who was refused goes before who rests"
+        for _, writer in [*crowd, (None, resting_writer)]:
+            writer.close()
+        await until(lambda: not one.server.callers)
+
+
+@on_loop
+async def test_a_refused_peer_has_a_moment_to_read_its_answer_whoever_comes() -> None:
+    async with sidecar(Endpoint()) as one:
+        one.server.most = 2  # one of them for callers
+        one.server.waits.linger_s = one.server.waits.answered_s = TIMEOUT_S
+        reader, writer, caller = await joined(one)
+        writer.write(b"nonsense\r\n\r\n")
+        assert (await read_message(reader)).start.split()[1] == "400"
+        late, _ = await one.connect()
+        with contextlib.suppress(ConnectionError):
+            assert await late.read() == b""
+        assert list(one.server.callers) == [caller]
+        writer.close()
+        await until(lambda: not one.server.callers)
+
+
+@on_loop
+async def test_ids_that_are_remembered_are_bounded_in_number(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("woadyard.net.server.IDS_MOST", 3)
+    async with sidecar(Endpoint()) as one:
+        for n in range(5):
+            assert (await one.ask(request(rid=f"r{n}"))).body == b"ok"
+        for bad in (request("none", rid="bad"), request(rid="x" * 129), request(deadline_ms=-1, rid="bad")):
+            assert (await one.ask(bad)).start.split()[1][0] == "4"
+        assert list(one.server.ids) == [b"r2", b"r3", b"r4"], "the latest, and none of a bad request"
+        assert (await one.ask(request(rid="r4"))).start.split()[1] == "409"
+
+
+@on_loop
+async def test_two_processes_together_stay_within_the_limit() -> None:
+    """Each has its own listener, watch and door besides the sockets of both sides."""
+    async with sidecar(Endpoint()) as one:
+        one.server.whole, one.server.aside = 256 - 64, 64
+        one.server.share(0.5)
+        assert 2 * (one.server.most + 64) == 256 and one.upstream.most == one.server.most
+        one.server.share(1.0)
+        assert one.server.most + 64 == 256
+
+
+@pytest.mark.parametrize("adopted", [False, True], ids=["own", "adopted"])
+@on_loop
+async def test_small_writes_leave_at_once_on_every_side(adopted: bool) -> None:
+    registry = Registry()
+    async with sidecar(Endpoint(), registry=registry) as one:
+        if adopted:
+            assert one.server.listener is not None
+            one.server.listener.close()
+            listening = socket.create_server(("127.0.0.1", 0))
+            one.port = listening.getsockname()[1]
+            await one.server.adopt(listening.detach())
+        reader, writer, caller = await joined(one)
+        writer.write(request())
+        assert (await read_message(reader)).body == b"ok"
+        await registry.asked.get()
+        (link,) = one.upstream.links
+        assert one.driver.discovery is not None and one.driver.discovery.stream is not None
+        for each in (caller.transport, link.transport, one.driver.discovery.stream.transport):
+            assert each is not None
+            ours = each.get_extra_info("socket")
+            assert ours.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        writer.close()
+
+
+# --- The whole process -----------------------------------------------------------------
+
+
+def descriptors(process: Process) -> int:
+    return len(os.listdir(f"/proc/{process.pid}/fd"))
+
+
+@contextlib.contextmanager
+def crowd(size: int, *ports: int) -> Iterator[list[socket.socket]]:
+    """Connections that bring nothing, begun without waiting for one another."""
+    with contextlib.ExitStack() as stack:
+        sockets = []
+        for n in range(size):
+            one = stack.enter_context(socket.socket())
+            one.setblocking(False)
+            one.connect_ex(("127.0.0.1", ports[n % len(ports)]))
+            sockets.append(one)
+        yield sockets
+
+
+async def limited(environ: dict[str, str], most: int) -> Process:
+    """The program where the system gives it so many descriptors."""
+    script = 'ulimit -n "$0"; exec "$@"'
+    return await asyncio.create_subprocess_exec(
+        "/bin/sh", "-c", script, str(most), sys.executable, "-m", "woadyard",
+        env=environ, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+
+
+def ended(one: socket.socket) -> bool:
+    try:
+        return not one.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except ConnectionError:
+        return True
+
+
+async def asked(port: int) -> Message:
+    """The answer to a request that is sent again on a new connection until it gets one."""
+    for n in itertools.count():
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            with contextlib.closing(writer):
+                writer.write(request(rid=f"good-{n}"))
+                return await read_message(reader)
+        await asyncio.sleep(0.01)
+    raise AssertionError
+
+
+@pytest.mark.parametrize(("told", "given"), [(128, 1024), (1024, 128)], ids=["told", "given"])
+@on_loop
+async def test_a_crowd_leaves_discovery_endpoints_and_the_door_their_descriptors(
+    tmp_path: Path, told: int, given: int
+) -> None:
+    """It comes while discovery is down, to the callers' side and to the door; the settings
+    or the system say how many descriptors there are."""
+    endpoint, registry = Endpoint(), Registry()
+    registry.port, port, door = free_port(), free_port(), free_port()
+    environ = {
+        **config(tmp_path, registry, endpoint, limits={"sockets": told}),
+        "LB_LISTEN": f"127.0.0.1:{port}", "LB_CONSOLE": f"127.0.0.1:{door}",
+    }  # fmt: skip
+    async with await endpoint.start():
+        config(tmp_path, registry, endpoint, limits={"sockets": told})  # it has its port now
+        process = await limited(environ, given)
+        try:
+            await ready(door)
+            with crowd(300, port) as callers, crowd(2 * VISITORS_MOST, door):
+                peak = 0
+                while sum(ended(one) for one in callers) < 200:
+                    peak = max(peak, descriptors(process))
+                    await asyncio.sleep(0)
+                assert (await call(door, "GET", "/_ready")).start.startswith("HTTP/1.1 200")
+                async with await registry.start(registry.port):
+                    _, watch = await registry.asked.get()
+                    push(watch, 2, True, endpoint.entry())
+                    assert (await asked(port)).body == b"ok"
+                    assert peak <= min(told, given) - 16, "a quarter of what both sides share"
+                    process.terminate()
+                    await process.wait()
+        finally:
+            if process.returncode is None:
+                process.kill()
+            _, errors = await process.communicate()
+        assert process.returncode == 0 and b"Traceback" not in errors
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -210,8 +210,8 @@
             else:
                 self.call = asked
                 self.requests.take(asked)
-        ended = self.over or self.refused or self.shedding
-        if self.incoming.large and self.call is None and not (ended or self.upload):
+        due = not (self.waiting or self.over or self.refused or self.shedding or self.upload)
+        if due and self.incoming.large and self.call is None:
             self._load()
         self._pace()
 
@@ -363,9 +363,14 @@
         self._pace()
         if self.transport.can_write_eof():
             self.transport.write_eof()
-        waits = self.server.waits
-        unwritten = self.transport.get_write_buffer_size()  # of an answer that is read slowly
-        self.loop.call_later(waits.relay_s if unwritten else waits.linger_s, self.transport.abort)
+        self.server.linger(self)
+        waits = self.server.waits  # an answer that is read slowly has its time
+        self.loop.call_later(waits.linger_s if self.written else waits.relay_s, self.transport.abort)
+
+    @property
+    def written(self) -> bool:
+        """Whether the system has all that was answered."""
+        return self.transport is not None and not self.transport.get_write_buffer_size()
 
     def give_up(self) -> None:
         """The process ends: what is owed an answer, or not even whole, gets one now."""
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from itertools import chain
 
 from woadyard.net.asked import MAX_U63, BadRequestError
 from woadyard.net.caller import Caller
@@ -27,6 +28,8 @@
 BACKLOG = 1024
 # Ids of requests are remembered for this long, longer than any of them runs.
 IDS_S, ID_MAX = 30.0, 128
+# And no more than these, the latest: guards memory against floods of them.
+IDS_MOST = 32_768
 
 
 def stop_times(deadline_s: float) -> tuple[float, float]:
@@ -40,13 +43,15 @@
 class Server:
     """The listener and its connections."""
 
-    def __init__(self, driver: Driver, most: int = 512) -> None:
+    def __init__(self, driver: Driver, most: int = 512, aside: int = 0) -> None:
         self.driver = driver
         self.waits = Waits()
         self.most = self.whole = most  # sockets of both sides
+        self.aside = aside  # what each process has besides
         self.buffer = memoryview(bytearray(READ_SIZE))  # one read at a time, whoever reads
         self.callers: dict[Caller, None] = {}  # the first to come first
         self.resting: dict[Caller, float] = {}  # between requests since, the longest first
+        self.lingering: dict[Caller, float] = {}  # answered for good since, the longest first
         self.sweeping: asyncio.TimerHandle | None = None
         self.ids: dict[bytes, float] = {}  # of requests taken, the oldest first
         self.stopping = False  # told to
@@ -91,6 +96,8 @@
         if name in self.ids:
             raise BadRequestError(409, "X-Request-Id was taken before")
         self.ids[name] = now
+        if len(self.ids) > IDS_MOST:
+            del self.ids[next(iter(self.ids))]
 
     async def listen(self, host: str, port: int) -> int:
         loop = self.driver.loop
@@ -126,14 +133,17 @@
         return both > self.most or len(self.callers) > max(1, CALLERS_PART * self.most)
 
     def share(self, part: float) -> None:
-        """With a second process of this sidecar each has half of the sockets."""
-        self.most = self.driver.upstream.most = max(16, int(self.whole * part))
+        """With a second process of this sidecar each has half of all descriptors,
+        and in its half what each has besides the sockets of both sides."""
+        most = int((self.whole + self.aside) * part) - self.aside
+        self.most = self.driver.upstream.most = max(16, most)
         while self._crowded() and self.give_way():
             pass
 
     def left(self, caller: Caller) -> None:
         self.callers.pop(caller, None)
         self.resting.pop(caller, None)
+        self.lingering.pop(caller, None)
         if self.stopping and self.listener is None and not self.callers:
             self.on_end()
 
@@ -143,13 +153,15 @@
             self.sweeping = self.driver.loop.call_later(self.waits.rest_s, self._sweep)
 
     def give_way(self) -> bool:
-        """One socket less: the caller longest at rest, or else the first to come of
-        those who owe a request for long. Whoever is served is left alone."""
-        caller = next(iter(self.resting), None)
-        if caller is None:
-            limit = self.driver.loop.time() - self.waits.crowd_s
-            owing = (one for one in self.callers if one.patience is not None and one.call is None)
-            caller = next((one for one in owing if one.owed_since <= limit), None)
+        """One socket less: who had time to read its last answer, or else the caller longest
+        at rest, or else the first to come of those who owe a request for long. Whoever is
+        served is left alone, as long as a byte of its answer is unwritten."""
+        now = self.driver.loop.time()
+        limit, owed = now - self.waits.answered_s, now - self.waits.crowd_s
+        lingering = (one for one, since in self.lingering.items() if since <= limit)
+        owing = (one for one in self.callers if one.patience is not None and one.call is None)
+        late = (one for one in owing if one.owed_since <= owed)
+        caller = next((one for one in chain(lingering, self.resting, late) if one.written), None)
         if caller is None:
             return False
         self.close(caller)
@@ -207,8 +219,12 @@
         for caller in list(self.callers):
             caller.give_up()
 
+    def linger(self, caller: Caller) -> None:
+        self.lingering[caller] = self.driver.loop.time()
+
     def close(self, caller: Caller) -> None:
         self.resting.pop(caller, None)
+        self.lingering.pop(caller, None)
         caller.over = True
         if caller.transport is not None:
             caller.transport.close()
