Look at an idle connection before it carries a request

Cause: `Upstream.send` took the last used connection wherever uvloop had not yet told of an end. What the endpoint did since the loop last polled lies in the system: a close or reset ended the request as "may have run" (a request of an unsafe class was then failed), and a second answer, or half of one, that came after the first was read as the answer to the next request: a 200 that no endpoint made for it.

Seen over sockets, the request and the crossing both there before the loop's next look: 502 for a close, a reset and half a line, the stray body as the answer for a second answer. Ruled out: bytes that the loop reads while nothing is asked, which close the connection already; bytes in the same read as the answer, likewise. Left, as HTTP/1.1 has no sign to tell it by: a second answer that arrives only after the next request was written.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import socket
+import struct
 import time
 
 import pytest
@@ -122,3 +123,39 @@
         assert len(got) == (1 if past else 2)
         assert [event.outcome for event in told] == [ERROR, MOOT if past else OK]
         assert back.start.split()[1] == ("502" if past else "200")
+
+
+@pytest.mark.parametrize("crossing", ["end", "reset", "second answer", "half a line"])
+@on_loop
+async def test_what_lies_on_an_idle_connection_as_it_is_taken_is_no_answer(crossing: str) -> None:
+    """The request and the crossing are both there before the loop looks again, the request first."""
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as listener, socket.socket() as client:
+        listener.setblocking(False)
+        async with sidecar(Endpoint(), ceilings={"max-attempts": 1}) as one:
+            one.told(Endpoint().entry("s-0", hostPort=f"127.0.0.1:{listener.getsockname()[1]}"))
+            told = outcomes(one)
+            client.connect(("127.0.0.1", one.port))
+            client.setblocking(False)
+            client.send(request("pay", rid="r1"))
+            first, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(first, 4096)
+            await loop.sock_sendall(first, answer(body=b"first"))
+            assert (await loop.sock_recv(client, 4096)).endswith(b"first")
+            await until(lambda: any(pool.idle for pool in one.upstream.pools.values()))
+            client.send(request("pay", rid="r2"))
+            if crossing == "second answer":
+                first.send(answer(body=b"stray"))
+            elif crossing == "half a line":
+                first.send(b"HTTP/1.1 20")
+            else:
+                if crossing == "reset":
+                    first.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                first.close()
+            second, _ = await loop.sock_accept(listener)
+            assert b"X-Request-Id: r2" in await loop.sock_recv(second, 4096)
+            await loop.sock_sendall(second, answer(body=b"second"))
+            assert (await loop.sock_recv(client, 4096)).endswith(b"second")
+            assert [event.outcome for event in told] == [OK, OK]
+            second.close()
+        first.close()
--- a/woadyard/net/link.py
+++ b/woadyard/net/link.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from typing import Protocol, cast
 
 import httptools
@@ -179,6 +180,15 @@
         self.idle_since = self.owner.loop.time()
         self.owner.arm(self.idle_since)
 
+    def quiet(self) -> bool:
+        """Whether it may carry a request: an end of the endpoint's, or bytes that nobody asked for,
+        may lie in the system since the loop last looked, and would be taken for the answer."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        look = select.poll()
+        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not look.poll(0)
+
     def close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -67,10 +67,11 @@
             return
         while pool.idle:
             link = pool.idle.pop()
-            if link.transport is not None and not link.transport.is_closing():
+            if link.quiet():
                 link.attempt, attempt.link = attempt, link
                 link.write()
                 return
+            link.close()
         self._open(pool, attempt)
 
     def _open(self, pool: Pool, attempt: Attempt) -> None:
