Tell a deadline that passes before the last byte left as never having run

Cause: `Attempts.stop` reported TIMEOUT ("may have run") for every attempt out at its client's deadline, also for one whose connection had not come up or whose body was not written whole.

Seen: an unsafe request whose connection was still coming up at its deadline was answered 504 (outcome 3) where a refusal, after which the client may repeat it, is true; a keyed one rested its key as though it might still run.

Change: `Upstream.cancel`, which closes the connection, tells whether the last byte had not left by then; nothing more leaves afterwards, so a time-out is then NO_CONNECT.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
 import struct
 import time
+from collections.abc import Callable, Iterator
 
 import pytest
 
@@ -90,6 +92,24 @@
         await until(lambda: all(link in link.pool.idle for link in one.upstream.links))
 
 
+@contextlib.contextmanager
+def connects_held(
+    began: asyncio.Event, up: asyncio.Event, held: Callable[[], bool] = lambda: True
+) -> Iterator[None]:
+    """Connections to endpoints come up no sooner than the event."""
+    connect = Link._connect
+
+    async def late(link: Link, host: str, port: int) -> None:
+        if held():
+            began.set()
+            await up.wait()
+        await connect(link, host, port)
+
+    with pytest.MonkeyPatch.context() as patched:
+        patched.setattr(Link, "_connect", late)
+        yield
+
+
 @pytest.mark.parametrize("past", [False, True], ids=["within", "past"])
 @on_loop
 async def test_a_repeat_whose_connection_comes_up_past_the_window_is_not_written(past: bool) -> None:
@@ -104,16 +124,8 @@
     async with sidecar(Endpoint(error_first), Endpoint(error_first)) as one:
         raw = {**SETTINGS, "classes": [{**c, "repeat-window-us": window} for c in SETTINGS["classes"]]}
         one.driver.retune(raw, read_settings(json.dumps(raw).encode()))
-        told, connect = outcomes(one), Link._connect
-
-        async def late(link: Link, host: str, port: int) -> None:
-            if got:
-                connecting.set()
-                await up.wait()
-            await connect(link, host, port)
-
-        with pytest.MonkeyPatch.context() as patched:
-            patched.setattr(Link, "_connect", late)
+        told = outcomes(one)
+        with connects_held(connecting, up, lambda: bool(got)):
             asked = asyncio.create_task(one.ask(request("put")))
             await connecting.wait()
             (call,) = one.driver.calls.values()
@@ -159,3 +171,17 @@
             assert [event.outcome for event in told] == [OK, OK]
             second.close()
         first.close()
+
+
+@on_loop
+async def test_a_deadline_that_passes_while_the_connection_comes_up_proves_that_nothing_ran() -> None:
+    endpoint, began, up = Endpoint(), asyncio.Event(), asyncio.Event()
+    async with sidecar(endpoint, ceilings={"connect-timeout-us": 60_000_000}) as one:
+        told = outcomes(one)
+        with connects_held(began, up):
+            back = await one.ask(request("pay", deadline_ms=80))
+            assert [event.outcome for event in told] == [NO_CONNECT]
+            assert back.start.split()[1] == "503", "its client may try again"
+            up.set()
+            await until(lambda: not one.upstream.links)
+        assert not endpoint.opened and not endpoint.got
--- a/woadyard/net/attempts.py
+++ b/woadyard/net/attempts.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from woadyard.interface import CANCELLED, MOOT, OK, TIMEOUT, Outcome, Send
+from woadyard.interface import CANCELLED, MOOT, NO_CONNECT, OK, TIMEOUT, Outcome, Send
 from woadyard.net.message import Answer, Attempt
 from woadyard.net.names import InForce
 from woadyard.net.places import Places
@@ -63,8 +63,10 @@
     def stop(self, attempt: Attempt, outcome: int) -> None:
         """Wait for it no longer."""
         if attempt.out:
-            self.upstream.cancel(attempt)
-            self.ended(attempt, outcome, None, b"")
+            never_left = self.upstream.cancel(attempt)
+            # The wait for a connection that is not there yet, or takes no more, proves that it never ran.
+            proven = NO_CONNECT if outcome == TIMEOUT and never_left else outcome
+            self.ended(attempt, proven, None, b"")
 
     def relay(self, attempt: Attempt, answer: Answer, length: int | None) -> bool:
         """An answer too large to hold has begun: it is the caller's from now on,
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -95,13 +95,16 @@
             oldest.close()
             self.gone(oldest)
 
-    def cancel(self, attempt: Attempt) -> None:
-        """Stop waiting for an attempt: the endpoint sees its connection close."""
+    def cancel(self, attempt: Attempt) -> bool:
+        """Stop waiting for an attempt: the endpoint sees its connection close. Whether
+        its last byte had not left by then, and so never will."""
         link, attempt.link = attempt.link, None
-        if isinstance(link, Link) and link.attempt is attempt:
-            link.attempt = None
-            link.unload()
-            link.close()
+        if not isinstance(link, Link) or link.attempt is not attempt:
+            return not attempt.wrote
+        link.attempt = None
+        link.unload()
+        link.close()
+        return link.unwritten
 
     def gone(self, link: Link) -> None:
         self.links.discard(link)
