Take a refusal that is not whole for no proof that nothing ran

Cause: `Link._finish` is also reached where an answer that can't be passed on grows past what is held, and then judged a 503 or 504 with X-Not-Run as "never ran". An answer that never ends can't be read as the protocol requires: it may have run.

Seen: an unsafe request whose endpoint answered 503, X-Not-Run and a body without an end was refused as harmless to try again (FULL). Ruled out, and now kept by the same test: half a refusal and half a status line, which end as a time-out.

Change: only a whole answer proves it.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -28,11 +28,14 @@
     sidecar,
     until,
 )
-from woadyard.interface import CANCELLED, ERROR, MOOT, NO_CONNECT, OK
+from woadyard.interface import CANCELLED, ERROR, MOOT, NO_CONNECT, OK, TIMEOUT
 from woadyard.net.link import Link
 from woadyard.net.message import Attempt
 from woadyard.wire import read_settings
 
+TURNED_AWAY = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n"
+CHUNK = b"4000\r\n%b\r\n" % (b"x" * 0x4000)
+
 
 @on_loop
 async def test_an_attempt_called_off_before_its_connect_began_leaves_no_connection_on_the_books() -> None:
@@ -185,3 +188,29 @@
             up.set()
             await until(lambda: not one.upstream.links)
         assert not endpoint.opened and not endpoint.got
+
+
+@pytest.mark.parametrize(
+    ("raw", "expected"),
+    [
+        (TURNED_AWAY + b"\r\n" + b"x" * 200_000, ERROR),
+        (
+            TURNED_AWAY + b"Transfer-Encoding: chunked\r\n\r\n" + b"4000\r\n%b\r\n" % (b"x" * 0x4000) * 9,
+            ERROR,
+        ),
+        (TURNED_AWAY + b"Content-Length: 9\r\n\r\nhalf", TIMEOUT),
+        (b"HTTP/1.1 20", TIMEOUT),
+    ],
+    ids=["endless", "endless chunks", "half", "half a status line"],
+)
+@on_loop
+async def test_an_answer_that_never_ends_proves_nothing(raw: bytes, expected: int) -> None:
+    async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(raw)  # and the connection stays open
+
+    endpoint = Endpoint(reply)
+    async with sidecar(endpoint) as one:
+        told = outcomes(one)
+        back = await one.ask(request("pay", deadline_ms=400))
+        assert [event.outcome for event in told] == [expected] and len(endpoint.got) == 1
+        assert back.start.split()[1] in ("502", "504"), "it may have run: its client is not told to try again"
--- a/woadyard/net/link.py
+++ b/woadyard/net/link.py
@@ -310,7 +310,7 @@
         elif self.status == 200:
             outcome = OK if self.whole else RESET
             answer = Answer(200, pass_on(self.headers), b"".join(self.body)) if self.whole else None
-        elif self.status in (503, 504) and self.not_run:
+        elif self.whole and self.status in (503, 504) and self.not_run:
             outcome = FULL
         attempt, load = self.attempt, self.load
         self.attempt = None
