--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,9 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
+import struct
 import time
+from collections.abc import Callable, Iterator
 
 import pytest
 
@@ -25,11 +28,14 @@
     sidecar,
     until,
 )
-from woadyard.interface import CANCELLED, ERROR, MOOT, NO_CONNECT, OK
+from woadyard.interface import CANCELLED, ERROR, MOOT, NO_CONNECT, OK, TIMEOUT
 from woadyard.net.link import Link
 from woadyard.net.message import Attempt
 from woadyard.wire import read_settings
 
+TURNED_AWAY = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n"
+CHUNK = b"4000\r\n%b\r\n" % (b"x" * 0x4000)
+
 
 @on_loop
 async def test_an_attempt_called_off_before_its_connect_began_leaves_no_connection_on_the_books() -> None:
@@ -89,6 +95,24 @@
         await until(lambda: all(link in link.pool.idle for link in one.upstream.links))
 
 
+@contextlib.contextmanager
+def connects_held(
+    began: asyncio.Event, up: asyncio.Event, held: Callable[[], bool] = lambda: True
+) -> Iterator[None]:
+    """Connections to endpoints come up no sooner than the event."""
+    connect = Link._connect
+
+    async def late(link: Link, host: str, port: int) -> None:
+        if held():
+            began.set()
+            await up.wait()
+        await connect(link, host, port)
+
+    with pytest.MonkeyPatch.context() as patched:
+        patched.setattr(Link, "_connect", late)
+        yield
+
+
 @pytest.mark.parametrize("past", [False, True], ids=["within", "past"])
 @on_loop
 async def test_a_repeat_whose_connection_comes_up_past_the_window_is_not_written(past: bool) -> None:
@@ -103,16 +127,8 @@
     async with sidecar(Endpoint(error_first), Endpoint(error_first)) as one:
         raw = {**SETTINGS, "classes": [{**c, "repeat-window-us": window} for c in SETTINGS["classes"]]}
         one.driver.retune(raw, read_settings(json.dumps(raw).encode()))
-        told, connect = outcomes(one), Link._connect
-
-        async def late(link: Link, host: str, port: int) -> None:
-            if got:
-                connecting.set()
-                await up.wait()
-            await connect(link, host, port)
-
-        with pytest.MonkeyPatch.context() as patched:
-            patched.setattr(Link, "_connect", late)
+        told = outcomes(one)
+        with connects_held(connecting, up, lambda: bool(got)):
             asked = asyncio.create_task(one.ask(request("put")))
             await connecting.wait()
             (call,) = one.driver.calls.values()
@@ -122,3 +138,79 @@
         assert len(got) == (1 if past else 2)
         assert [event.outcome for event in told] == [ERROR, MOOT if past else OK]
         assert back.start.split()[1] == ("502" if past else "200")
+
+
+@pytest.mark.parametrize("crossing", ["end", "reset", "second answer", "half a line"])
+@on_loop
+async def test_what_lies_on_an_idle_connection_as_it_is_taken_is_no_answer(crossing: str) -> None:
+    """The request and the crossing are both there before the loop looks again, the request first."""
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as listener, socket.socket() as client:
+        listener.setblocking(False)
+        async with sidecar(Endpoint(), ceilings={"max-attempts": 1}) as one:
+            one.told(Endpoint().entry("s-0", hostPort=f"127.0.0.1:{listener.getsockname()[1]}"))
+            told = outcomes(one)
+            client.connect(("127.0.0.1", one.port))
+            client.setblocking(False)
+            client.send(request("pay", rid="r1"))
+            first, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(first, 4096)
+            await loop.sock_sendall(first, answer(body=b"first"))
+            assert (await loop.sock_recv(client, 4096)).endswith(b"first")
+            await until(lambda: any(pool.idle for pool in one.upstream.pools.values()))
+            client.send(request("pay", rid="r2"))
+            if crossing == "second answer":
+                first.send(answer(body=b"stray"))
+            elif crossing == "half a line":
+                first.send(b"HTTP/1.1 20")
+            else:
+                if crossing == "reset":
+                    first.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                first.close()
+            second, _ = await loop.sock_accept(listener)
+            assert b"X-Request-Id: r2" in await loop.sock_recv(second, 4096)
+            await loop.sock_sendall(second, answer(body=b"second"))
+            assert (await loop.sock_recv(client, 4096)).endswith(b"second")
+            assert [event.outcome for event in told] == [OK, OK]
+            second.close()
+        first.close()
+
+
+@on_loop
+async def test_a_deadline_that_passes_while_the_connection_comes_up_proves_that_nothing_ran() -> None:
+    endpoint, began, up = Endpoint(), asyncio.Event(), asyncio.Event()
+    async with sidecar(endpoint, ceilings={"connect-timeout-us": 60_000_000}) as one:
+        told = outcomes(one)
+        with connects_held(began, up):
+            back = await one.ask(request("pay", deadline_ms=80))
+            assert [event.outcome for event in told] == [NO_CONNECT]
+            assert back.start.split()[1] == "503", "its client may try again"
+            up.set()
+            await until(lambda: not one.upstream.links)
+        assert not endpoint.opened and not endpoint.got
+
+
+@pytest.mark.parametrize(
+    ("raw", "expected"),
+    [
+        (TURNED_AWAY + b"\r\n" + b"x" * 200_000, ERROR),
+        (
+            TURNED_AWAY + b"Transfer-Encoding: chunked\r\n\r\n" + b"4000\r\n%b\r\n" % (b"x" * 0x4000) * 9,
+            ERROR,
+        ),
+        (TURNED_AWAY + b"Content-Length: 9\r\n\r\nhalf", TIMEOUT),
+        (b"HTTP/1.1 20", TIMEOUT),
+    ],
+    ids=["endless", "endless chunks", "half", "half a status line"],
+)
+@on_loop
+async def test_an_answer_that_never_ends_proves_nothing(raw: bytes, expected: int) -> None:
+    async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(raw)  # and the connection stays open
+
+    endpoint = Endpoint(reply)
+    async with sidecar(endpoint) as one:
+        told = outcomes(one)
+        back = await one.ask(request("pay", deadline_ms=400))
+        assert [event.outcome for event in told] == [expected] and len(endpoint.got) == 1
+        assert back.start.split()[1] in ("502", "504"), "it may have run: its client is not told to try again"
