Begin no attempt for a client that has left, whether or not it is being read

Cause: `Caller._pace` stops reading while requests are queued or a large body is held, and a connection that is not read tells of no end: queued requests and held uploads were sent on one after the other for clients long gone. And where the loop is busy, the end of a client lies unread while timers, answers and late connections begin further attempts in the same turn. `eof_received` was left to the transport, whose close puts `connection_lost` off while bytes are unwritten: what was asked ran on till then (up to 10 s beside an answer that nobody reads, and for good below the high mark).

Half-close: settled as gone. PROTOCOL lets a sidecar give an attempt up by closing or by ending its sending, and the callers of the lower tiers are sidecars; a close and a half-close look alike anyway. It was so before (the transport closed on it).

Change: before each attempt, at the choice and again at the write, the system is asked whether the client's side has ended (poll, POLLRDHUP; without it the loop's word counts). Who is not read is looked at every 50 ms. One read's worth is read ahead of an answer, so that a few requests sent ahead don't hide the end. An end gives up what was asked at once, and breaks an answer under way off with a reset.

Ruled out: a retry waiting on the module's timer, where nothing is paused and the loop is idle.

--- a/woadyard/net/attempts.py
+++ b/woadyard/net/attempts.py
@@ -30,7 +30,8 @@
         upstream.ended, upstream.may_start, upstream.relay = self.ended, self.may_start, self.relay
 
     def may_start(self, attempt: Attempt, now: int) -> bool:
-        if not attempt.call.open or now >= attempt.until:
+        # Asked last: where the client has left, that ends the call.
+        if not attempt.call.open or now >= attempt.until or not attempt.call.relay.there():
             return False
         return self.places.may_start(attempt.endpoint, now)
 
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import logging
-import socket
-import struct
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
@@ -15,6 +13,7 @@
 from woadyard.net.incoming import Incoming
 from woadyard.net.message import READ_SIZE, Answer, Call, Carrier, Upload
 from woadyard.net.passing import Passing
+from woadyard.net.presence import has_left, reset
 from woadyard.net.turns import now_us
 from woadyard.net.waits import LOAD_LEAST, LOADING_US, STUCK_LOOKS
 
@@ -36,6 +35,7 @@
         self.upload: Upload | None = None  # the body of `call`, while it comes
         self.passing: Passing | None = None  # an answer that is passed on
         self.waiting: deque[tuple[Call | Answer, bool]] = deque()  # sent ahead of an answer
+        self.ahead = 0  # bytes read since none were waiting
         self.keep = True
         self.over = False  # nothing more is read
         self.incoming = Incoming(self)
@@ -55,19 +55,48 @@
         self._wait()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._give_up()
+        if self.jam is not None:
+            self.jam.cancel()
+        self.server.left(self)
+        self.incoming.close()
+
+    # --- The client's end -----------------------------------------------------------
+
+    def eof_received(self) -> None:
+        """A client that ends its sending has gone, whether or not it still reads: so a
+        sidecar gives up what it asked of the next tier, and a close looks no different."""
+        self.leave()
+
+    def there(self) -> bool:
+        """Asked before each attempt; where the client has left all of its requests end."""
+        if self.transport is not None and not has_left(self.transport):
+            return True
+        self.leave()
+        return False
+
+    def leave(self) -> None:
+        """What was asked ends now: until all is written that was answered before,
+        `connection_lost` does not come."""
+        broken = self.passing is not None
+        self._give_up()
+        if broken and self.transport is not None and not self.transport.is_closing():
+            reset(self.transport)
+        else:
+            self.server.close(self)
+
+    def _give_up(self) -> None:
+        """Nothing more is taken, and what was taken is called off."""
         self.over = True
         self.waiting.clear()
+        self.server.unread.discard(self)
         self._wait()
-        if self.jam is not None:
-            self.jam.cancel()
         if self.passing is not None:
             self.passing.end()
         self.passing = self.upload = None
         if self.call is not None:
-            self.requests.gone(self.call)
-            self.call = None
-        self.server.left(self)
-        self.incoming.close()
+            call, self.call = self.call, None
+            self.requests.gone(call)
 
     # --- Reading --------------------------------------------------------------------
 
@@ -76,6 +105,7 @@
 
     def buffer_updated(self, size: int) -> None:
         if not self.over:
+            self.ahead += size
             self.read(bytes(self.server.buffer[:size]))
 
     def read(self, data: bytes) -> None:
@@ -177,14 +207,19 @@
         """Read, unless that would only fill the memory."""
         if self.transport is None or self.transport.is_closing():
             return
-        # Guards against a caller that never waits for its answers, too.
-        ahead = bool(self.waiting) or (self.call is not None and self.upload is None and self.incoming.large)
+        # Guards against a caller that never waits for its answers, too. A little is read
+        # ahead all the same: so the end of one that sends much and goes is found.
+        self.ahead = self.ahead if self.waiting else 0
+        large = self.call is not None and self.upload is None and self.incoming.large
+        ahead = large or self.ahead >= READ_SIZE
         pause = not self.over and (ahead or (self.held and self.upload is not None))
         if pause != self.paused:
             self.paused = pause
             if pause:
                 self.transport.pause_reading()
+                self.server.unread.add(self)
             else:
+                self.server.unread.discard(self)
                 self.transport.resume_reading()
 
     def _asked(self) -> Call | Answer:
@@ -276,10 +311,7 @@
             return
         if not whole:
             self.over = True
-            self.transport.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-            )
-            self.transport.abort()
+            reset(self.transport)
             return
         if self.clogged:  # what is left of it is still timed
             self.pause_writing()
--- /dev/null
+++ b/woadyard/net/presence.py
@@ -0,0 +1,65 @@
+"""Whether the client at the other end of a connection is still there."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+import struct
+from typing import Protocol
+
+# The other side has ended its sending; told also while unread bytes lie before that end.
+ENDED = getattr(select, "POLLRDHUP", 0)
+LEFT = ENDED | select.POLLHUP | select.POLLERR
+LOOK_S = 0.05  # between looks at who is not read: an attempt may begin 0.1 s after its client left
+
+
+def has_left(transport: asyncio.Transport) -> bool:
+    """Asks the system: the loop hears of an end only in its turn, and of none while it
+    does not read. Where the system can't tell, the loop's word is all there is."""
+    if transport.is_closing():
+        return True
+    poll = select.poll()
+    try:
+        poll.register(transport.get_extra_info("socket").fileno(), ENDED)
+        return any(event & LEFT for _, event in poll.poll(0))
+    except OSError:
+        return False
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """End a connection so that its client sees that an answer broke off."""
+    linger = struct.pack("ii", 1, 0)
+    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    transport.abort()
+
+
+class Client(Protocol):
+    """One end of a connection that may be left at the other."""
+
+    def there(self) -> bool:
+        """Looks whether it was left; if so, all that it asked for ends."""
+
+
+class Unread:
+    """The clients that are not read for now, whose ends the loop would not hear of."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.clients: dict[Client, None] = {}
+        self.timer: asyncio.TimerHandle | None = None
+
+    def add(self, client: Client) -> None:
+        self.clients[client] = None
+        if self.timer is None:
+            self.timer = self.loop.call_later(LOOK_S, self._look)
+
+    def discard(self, client: Client) -> None:
+        self.clients.pop(client, None)
+
+    def _look(self) -> None:
+        """One timer serves all, and runs only while there are any."""
+        self.timer = self.loop.call_later(LOOK_S, self._look) if self.clients else None
+        for client in list(self.clients):
+            if client in self.clients:  # one that ends may let another be read again
+                client.there()
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -10,6 +10,7 @@
 from woadyard.net.caller import Caller
 from woadyard.net.driver import Driver
 from woadyard.net.message import READ_SIZE, Answer
+from woadyard.net.presence import Unread
 from woadyard.net.waits import Waits
 
 # Callers fill this part of the sockets at most: the others are for endpoints.
@@ -38,6 +39,7 @@
         self.buffer = memoryview(bytearray(READ_SIZE))  # one read at a time, whoever reads
         self.callers: dict[Caller, None] = {}  # the first to come first
         self.resting: dict[Caller, float] = {}  # between requests since, the longest first
+        self.unread = Unread(driver.loop)
         self.sweeping: asyncio.TimerHandle | None = None
         self.ids: dict[bytes, float] = {}  # of requests taken, the oldest first
         self.stopping = False  # told to
