End attempts of a client that has left where they may not be cancelled

Cause: with `ceilings.cancel` false the module cancels nothing, and (1) an attempt that carries a large body waited for a rest that never comes: its time is only set once the body is whole, so it stayed out for up to 900 s; (2) any other attempt had the call's timer as its own (`Attempts.send` sets none where its time is the request's), and `Requests.over` cancels that one: at an endpoint that hangs it stayed out for good. Each left a connection, a call and an in-flight count behind. (2) holds for second copies too.

Change: `Requests.gone` ends the attempts of a body that is not whole; `Requests.over` leaves each attempt that is still out a timer of its own, to the time it was sent with.

--- a/woadyard/net/requests.py
+++ b/woadyard/net/requests.py
@@ -65,6 +65,9 @@
         self.turns.tell(self.turns.balancer.gone, call.id)
         if call.relayed is not None:
             self.stop(call.relayed, CANCELLED)
+        elif call.upload is not None and not call.upload.whole:
+            for attempt in call.attempts:  # what is still missing of the body never comes
+                self.stop(attempt, CANCELLED)
 
     def _expire(self, call: Call) -> None:
         """The client's deadline: what is out timed out, and the module answers."""
@@ -105,6 +108,10 @@
         if call.timer is not None:
             call.timer.cancel()
             call.timer = None
+        for attempt in call.attempts:
+            # One that may not be cancelled had the call's timer so far; a relayed one has none.
+            if attempt.out and attempt.timer is None and attempt is not call.relayed:
+                attempt.timer = self.turns.at(attempt.until, self.stop, attempt, TIMEOUT)
         self.drop(call)
 
     def drop(self, call: Call) -> None:
