--- a/woadyard/net/asked.py
+++ b/woadyard/net/asked.py
@@ -4,12 +4,17 @@
 
 import zlib
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 from woadyard.errors import PeerError
 from woadyard.interface import SAFE
 from woadyard.net.driver import Driver
 from woadyard.net.message import Answer, Call, Headers, Relay, pass_on
 
+if TYPE_CHECKING:
+    from woadyard.net.incoming import Incoming
+    from woadyard.net.server import Server
+
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 MAX_U63 = 2**63
 
@@ -94,6 +99,16 @@
     )
 
 
+def ask(server: Server, read: Incoming, relay: Relay) -> Call | Answer:
+    """What the request that was read asks for, or the answer that it gets at once."""
+    if read.checks_health:
+        return Answer(200 if server.serving else 503)
+    call = read_call(server.driver, read.method, read.target, read.headers, relay, server.answered_by)
+    server.claim(request_id(read.headers))
+    call.body = b"".join(read.body)
+    return call if not server.turning_away else server.turn_away()
+
+
 def final(answer: Answer, keep: bool) -> bytes:
     """A whole answer as it is written."""
     close = b"" if keep else b"Connection: close\r\n"
--- a/woadyard/net/attempts.py
+++ b/woadyard/net/attempts.py
@@ -32,6 +32,8 @@
     def may_start(self, attempt: Attempt, now: int) -> bool:
         if not attempt.call.open or now >= min(attempt.until, attempt.start_by):
             return False
+        if not attempt.call.relay.there():  # where the client has left, that ends the call
+            return False
         return self.places.may_start(attempt.endpoint, now)
 
     def send(self, action: Send) -> None:
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -4,24 +4,22 @@
 
 import asyncio
 import logging
-import socket
-import struct
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
 import httptools
 
-from woadyard.net.asked import BadRequestError, final, read_call, request_id
+from woadyard.net.asked import BadRequestError, ask, final
 from woadyard.net.incoming import Incoming
 from woadyard.net.message import READ_SIZE, Answer, Call, Carrier, Upload
 from woadyard.net.passing import Passing
+from woadyard.net.presence import has_left, reset
 from woadyard.net.turns import now_us
 from woadyard.net.waits import LOAD_LEAST, LOADING_US, STUCK_LOOKS
 
 if TYPE_CHECKING:
     from woadyard.net.server import Server
 
-READY_PATH = b"/health/ready"
 LOG = logging.getLogger(__name__)
 
 
@@ -36,6 +34,7 @@
         self.upload: Upload | None = None  # the body of `call`, while it comes
         self.passing: Passing | None = None  # an answer that is passed on
         self.waiting: deque[tuple[Call | Answer, bool]] = deque()  # sent ahead of an answer
+        self.ahead = 0  # bytes read since none were waiting
         self.keep = True
         self.refused = False  # nothing more is read; what was taken before is answered
         self.over = False  # nothing more is read, or written
@@ -56,19 +55,48 @@
         self._wait()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._call_off()
+        if self.jam is not None:
+            self.jam.cancel()
+        self.server.left(self)
+        self.incoming.close()
+
+    # --- The client's end -----------------------------------------------------------
+
+    def eof_received(self) -> None:
+        """A client that ends its sending has gone, whether or not it still reads: so a
+        sidecar gives up what it asked of the next tier, and a close looks no different."""
+        self.leave()
+
+    def there(self) -> bool:
+        """Asked before each attempt; where the client has left all of its requests end."""
+        if self.transport is not None and not has_left(self.transport):
+            return True
+        self.leave()
+        return False
+
+    def leave(self) -> None:
+        """What was asked ends now: until all is written that was answered before,
+        `connection_lost` does not come."""
+        broken = self.passing is not None
+        self._call_off()
+        if broken and self.transport is not None and not self.transport.is_closing():
+            reset(self.transport)
+        else:
+            self.server.close(self)
+
+    def _call_off(self) -> None:
+        """Nothing more is taken, and what was taken is called off."""
         self.over = True
         self.waiting.clear()
+        self.server.unread.discard(self)
         self._wait()
-        if self.jam is not None:
-            self.jam.cancel()
         if self.passing is not None:
             self.passing.end()
         self.passing = self.upload = None
         if self.call is not None:
-            self.requests.gone(self.call)
-            self.call = None
-        self.server.left(self)
-        self.incoming.close()
+            call, self.call = self.call, None
+            self.requests.gone(call)
 
     # --- Reading --------------------------------------------------------------------
 
@@ -77,6 +105,7 @@
 
     def buffer_updated(self, size: int) -> None:
         if not (self.over or self.refused):
+            self.ahead += size
             self.read(bytes(self.server.buffer[:size]))
 
     def read(self, data: bytes) -> None:
@@ -98,9 +127,8 @@
     def _wait(self) -> None:
         """Keep the time while the caller owes a request. Further bytes of a head
         don't prolong that: one that drips would never end."""
-        owed = not (self.over or self.passing or self in self.server.resting) and bool(
-            self.upload or not (self.call or self.waiting)
-        )
+        coming = bool(self.upload) or not (self.call or self.waiting)
+        owed = coming and not (self.over or self.passing or self in self.server.resting)
         if owed and self.patience is None:
             self.moved, self.owed_since = 0, self.loop.time()
             self.patience = self.loop.call_later(self.server.waits.request_s, self._out_of_patience)
@@ -140,9 +168,9 @@
         elif self.upload is not None:
             self._loaded(self.upload)
         else:
-            asked = self._asked()
+            asked = ask(self.server, self.incoming, self)
             # A health check comes on a connection of its own; kept, they add up.
-            keep = self.incoming.keeps and not self._checks_health()
+            keep = self.incoming.keeps and not self.incoming.checks_health
             self.waiting.append((asked, keep))
             self.incoming.rest()
 
@@ -157,9 +185,9 @@
 
     def _load(self) -> None:
         """A body too large to hold: it is passed on as it comes."""
-        asked = self._asked()
+        asked = ask(self.server, self.incoming, self)
         if isinstance(asked, Answer):
-            if self._checks_health():
+            if self.incoming.checks_health:
                 raise BadRequestError(413, "no body is wanted here")
             self._write_last(asked)
             return
@@ -178,29 +206,21 @@
         """Read, unless that would only fill the memory."""
         if self.transport is None or self.transport.is_closing():
             return
-        # Guards against a caller that never waits for its answers, too.
-        ahead = bool(self.waiting) or (self.call is not None and self.upload is None and self.incoming.large)
+        # Guards against a caller that never waits for its answers, too. A little is read
+        # ahead all the same: so the end of one that sends much and goes is found.
+        self.ahead = self.ahead if self.waiting else 0
+        large = self.call is not None and self.upload is None and self.incoming.large
+        ahead = large or self.ahead >= READ_SIZE
         pause = not self.over and (ahead or (self.held and self.upload is not None))
         if pause != self.paused:
             self.paused = pause
             if pause:
                 self.transport.pause_reading()
+                self.server.unread.add(self)
             else:
+                self.server.unread.discard(self)
                 self.transport.resume_reading()
 
-    def _asked(self) -> Call | Answer:
-        server = self.server
-        if self._checks_health():
-            return Answer(200 if server.serving else 503)
-        read = self.incoming
-        call = read_call(server.driver, read.method, read.target, read.headers, self, server.answered_by)
-        server.claim(request_id(read.headers))
-        call.body = b"".join(read.body)
-        return call if not server.turning_away else server.turn_away()
-
-    def _checks_health(self) -> bool:
-        return self.incoming.target.partition(b"?")[0] == READY_PATH
-
     def next(self) -> None:
         """Serve the oldest request read; a caller is heard once it is answered."""
         while self.waiting and self.call is None and not (self.over or self.clogged):
@@ -278,10 +298,7 @@
             return
         if not whole:
             self.over = True
-            self.transport.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-            )
-            self.transport.abort()
+            reset(self.transport)
             return
         if self.clogged:  # what is left of it is still timed
             self.pause_writing()
--- a/woadyard/net/incoming.py
+++ b/woadyard/net/incoming.py
@@ -9,6 +9,8 @@
 from woadyard.net.asked import BadRequestError
 from woadyard.net.message import BODY_MAX, HEAD_MAX, HOLD_MAX, FramingError, Headers, framing
 
+READY_PATH = b"/health/ready"
+
 
 class Reader(Protocol):
     """Whose requests they are; `over` where nothing more is taken."""
@@ -66,6 +68,10 @@
         """Whether chunks are unknown to the caller."""
         return self.parser.get_http_version() == "1.0"
 
+    @property
+    def checks_health(self) -> bool:
+        return self.target.partition(b"?")[0] == READY_PATH
+
     @property
     def large(self) -> bool:
         """Whether the body that is coming is too large to be held whole."""
