Hear who asks as it comes, in a crowd of callers that say nothing

Found by the time to ready: with 64 descriptors, discovery down, and 100 to 300 idle callers that come again as soon as they are closed, 5 of 12 processes took over 10 s from their start to the first 200 of GET /health/ready (11.7, 12.4, 14.8, 21.0 s, one given up at 20 s counted with them); nine in ten are to be ready by then.

`Server.joined` turned each new connection away at once while nobody had owed a request for 2 s. A place that came free went to whoever came next, and a health check, which asks as it connects, had no better chance than one of the crowd. Now the latest to come, an eighth of the callers, give way to each other while they have not brought a byte: the first of these goes, and the new one has a moment to ask. Whoever came earlier keeps its 2 s, the limit on sockets is the same, and one that has said anything is not touched. Where an eighth is less than one place all is as before.

--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -23,6 +23,8 @@
     on_loop,
     read_message,
     request,
+    sidecar,
+    until,
 )
 
 READY_S = 10.0  # nine in ten restarted processes have to be ready by then
@@ -132,3 +134,51 @@
                 await at_door(door)
                 await ready(port)
         await served(port)
+
+
+@on_loop
+async def test_it_is_ready_in_time_in_a_crowd_of_idle_callers(tmp_path: Path) -> None:
+    """They take every place there is, and come again as soon as they are closed."""
+    endpoint, port = Endpoint(), free_port()
+    async with contextlib.AsyncExitStack() as stack:
+        registry = await stack.enter_async_context(deaf("down"))
+        await stack.enter_async_context(await endpoint.start())
+        changes: dict[str, Any] = {"listen": f"127.0.0.1:{port}", "limits": {"sockets": 64}}
+
+        async def idle() -> None:
+            while True:
+                with contextlib.suppress(ConnectionError):
+                    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                    await reader.read()
+                    writer.close()
+                await asyncio.sleep(0.02)
+
+        crowd = [asyncio.create_task(idle()) for _ in range(100)]
+        stack.callback(lambda: [one.cancel() for one in crowd])
+        async with asyncio.timeout(READY_S):
+            process = await start(config(tmp_path, registry, endpoint, **changes))
+            stack.push_async_callback(end, process)
+            await ready(port)
+
+
+@on_loop
+async def test_who_asks_as_it_comes_is_heard_in_a_crowd_that_says_nothing() -> None:
+    """Places are all taken, and nobody has owed a request for long yet."""
+    async with sidecar(Endpoint()) as one:
+        one.server.most = 64  # 48 of them for callers
+        first, first_writer = await one.connect()
+        first_writer.write(request(rid="first")[:1])  # it has said something
+        crowd = [await one.connect() for _ in range(47)]
+        await until(lambda: len(one.server.callers) == 48)
+        for n in range(20):  # each is followed by another that says nothing
+            asker = await one.connect()
+            crowd.append(await one.connect())
+            asker[1].write(request(rid=f"r{n}"))
+            assert (await read_message(asker[0])).body == b"ok"
+            asker[1].close()
+            await until(lambda: len(one.server.callers) <= 48)
+        first_writer.write(request(rid="first")[1:])
+        assert (await read_message(first)).body == b"ok"
+        for _, writer in crowd:
+            writer.close()
+        assert not one.driver.calls
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -365,5 +365,10 @@
         elif self.incoming.reading and not (self.over or self.shedding):
             self._write_last(Answer(503))
 
+    @property
+    def silent(self) -> bool:
+        """Whether it has not brought a byte yet."""
+        return not (self.incoming.fed or self.incoming.target)
+
     def idle(self) -> bool:
         return self.call is None and not self.waiting and not self.incoming.reading
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from itertools import islice
 
 from woadyard.net.asked import MAX_U63, BadRequestError
 from woadyard.net.caller import Caller
@@ -14,6 +15,9 @@
 
 # Callers fill this part of the sockets at most: the others are for endpoints.
 CALLERS_PART = 0.75
+# The latest to come, this part of them, give way to each other at once while they say
+# nothing: who asks for something as it comes is heard in any crowd.
+LATEST_PART = 0.125
 # New connections come for this long after SIGTERM, and a last one gets this
 # long to bring its request.
 ACCEPT_S, LAST_S = 0.4, 0.15
@@ -116,10 +120,13 @@
         self.last_joined = self.driver.loop.time()
         if self._crowded():
             self.give_way()
-        if self._crowded() and caller.transport is not None:
-            caller.over = True
-            del self.callers[caller]
-            caller.transport.abort()
+        if self._crowded():
+            latest = islice(reversed(self.callers), max(1, int(LATEST_PART * len(self.callers))))
+            last = [one for one in latest if one.silent][-1]
+            last.over = True
+            del self.callers[last]
+            if last.transport is not None:
+                last.transport.abort()
 
     def _crowded(self) -> bool:
         both = len(self.callers) + len(self.driver.upstream.links)
