Take the list of a service that began anew, however often it is asked

Cause: another log's list is refused until nothing was heard for 10 s of the log held (`Held.judge`), but `Discovery.lost` took each failed call's time for a sign of it: also that of the call which brought the other log's list, and that of one never answered. As calls come at most 4 s apart, the list of a service that lost its log was never taken ("never" in 200 s), by one replica's address or by several.

Only a watch that said something, and no list of another log, counts. A replica that lags or is of an older term still does, being of the same log.

--- a/tests/test_discovery_chains.py
+++ b/tests/test_discovery_chains.py
@@ -22,6 +22,7 @@
 from woadyard.net.config import Config
 from woadyard.net.discovery import Discovery, Stream
 from woadyard.net.driver import Driver
+from woadyard.net.held import OTHER_S
 from woadyard.net.upstream import Upstream
 from woadyard.wire import read_settings
 
@@ -300,3 +301,24 @@
     chain.begun[-1].connection_lost(ConnectionResetError())
     taken = chain.after(*outage)
     assert taken > 20.0 if after_s else taken < 5.0
+
+
+def test_a_service_that_began_anew_is_heard_after_a_while_however_often_it_is_asked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Another log's list is taken once nothing was heard of the one held for `OTHER_S`."""
+
+    def of(lineage: str) -> Event:
+        def event(chain: Chain, stream: Stream) -> None:
+            stream.connection_made(Mock())
+            told = {"generation": 1, "reset": True, "instances": [], "lineage": lineage, "term": 1}
+            line = json.dumps(told).encode() + b"\n"
+            stream.data_received(HEAD + b"%x\r\n%b\r\n" % (len(line), line))
+
+        return event
+
+    chain = Chain(monkeypatch, 10.0)
+    chain.after(of("ab"))
+    beats(chain, 2)
+    chain.begun[-1].connection_lost(ConnectionResetError())
+    assert OTHER_S < chain.after(*[of("cd")] * 40) < OTHER_S + 2.0
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -55,6 +55,7 @@
         self.transport: asyncio.Transport | None = None
         self.status = 0  # of the answer, once its head has come
         self.ended = False  # the answer has
+        self.other = False  # it told a list of another log than the one held
         self.done = False  # whole, or given up: its end says nothing
         self.heard = owner.loop.time()  # of it: a whole head or line, or the beginning of one
 
@@ -103,6 +104,7 @@
         if self.status == 200:
             for told in self.lists.whole():
                 if not self.owner.take(told):
+                    self.other = told.lineage != self.owner.held.name.lineage
                     self.fail()
                 elif not self.watch:
                     self.stop()
@@ -282,7 +284,8 @@
     def lost(self, stream: Stream) -> None:
         if self.closed or self.watching:  # beside a watch, a call that failed says nothing
             return
-        if stream is self.stream:
+        # What was heard of another log, or of nobody, is no sign of the one held.
+        if stream is self.stream and stream.lists.said and not stream.other:
             self.held.heard = max(self.held.heard, stream.heard)
         if not self.out:  # once an outage, not once a try
             self.out = True
