Take a list that only the clean end of discovery's answer makes whole

Cause: a last line without a newline was read in a call's answer of known length alone (`on_message_complete`); at the end of a watch, and of an answer without length (`connection_lost`), it was dropped, and the same call made again and again.

A clean end ends the line as well; what it cuts short is no JSON object and no list. Ruled out, by 104 cases that pass without the change (pushed, and periods of 10, 30, 60 s; reset and clean end): an end before or in the head, 302, 204, 101, a list in a 404, a chunk cut in the middle, an empty answer, lengths not reached, a reset without length, garbage in a 200, entries and lists that are none. Nothing of them is used, and the next calls are made within their bounds.

--- a/tests/test_discovery_chains.py
+++ b/tests/test_discovery_chains.py
@@ -322,3 +322,62 @@
     beats(chain, 2)
     chain.begun[-1].connection_lost(ConnectionResetError())
     assert OTHER_S < chain.after(*[of("cd")] * 40) < OTHER_S + 2.0
+
+
+LIST = b'{"generation": 77, "reset": true,\n "instances": []}'
+PLAIN = b"HTTP/1.0 200 OK\r\n\r\n"
+CHUNK = b"%x\r\n%b\r\n" % (len(LIST), LIST)
+LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+
+
+def answered(raw: bytes, end: Exception | None = None) -> Event:
+    """These bytes, one by one, and the connection's end."""
+
+    def event(chain: Chain, stream: Stream) -> None:
+        stream.connection_made(Mock())
+        for at in range(len(raw)):
+            stream.data_received(raw[at : at + 1])
+        stream.connection_lost(end)
+
+    return event
+
+
+@pytest.mark.parametrize(
+    "raw", [HEAD + CHUNK + b"0\r\n\r\n", LENGTH % len(LIST) + LIST, PLAIN + LIST, PLAIN + LIST + b"\n"]
+)
+def test_a_list_that_an_answers_clean_end_makes_whole_is_taken(
+    monkeypatch: pytest.MonkeyPatch, raw: bytes
+) -> None:
+    chain = Chain(monkeypatch, 10.0)
+    chain.after(answered(raw))
+    assert chain.discovery.generation == 77 and len(chain.begun) == 1
+
+
+@pytest.mark.parametrize("period_s", PERIODS)
+@pytest.mark.parametrize("end", [None, ConnectionResetError()])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"HTTP/1.1 20",
+        b"HTTP/1.1 302 X\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 204 X\r\n\r\n",
+        b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        b"HTTP/1.1 404 X\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNK,  # a list, in no 200
+        HEAD + CHUNK[:-9],  # cut in the middle of a chunk
+        HEAD + b"0\r\n\r\n",
+        LENGTH % 99 + LIST[:-1],
+        PLAIN + LIST[:-1],
+        PLAIN + b"<html>\n",
+        PLAIN + b'{"generation": 77, "reset": true, "instances": [{"instanceId": 5}]}\n',  # no entry
+        PLAIN + b'{"generation": -77, "reset": "x", "instances": {}}\n',
+    ],
+)
+def test_an_answer_that_makes_no_list_is_asked_for_again(
+    monkeypatch: pytest.MonkeyPatch, period_s: float, raw: bytes, end: Exception | None
+) -> None:
+    chain = Chain(monkeypatch, period_s)
+    chain.after()
+    chain.begun[-1].connection_lost(None)
+    assert chain.after(*[answered(raw, end)] * 3) <= 3.4
+    assert chain.discovery.generation == 43 and not chain.begun[-1].done
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -72,7 +72,10 @@
             return
         said = self.lists.said
         try:
-            self.parser.feed_data(data)
+            if data:
+                self.parser.feed_data(data)
+            else:
+                self.lists.feed(b"\n")
             self._read()
             # Guards against bytes that trickle in and never make a list.
             if self.lists.said > said:
@@ -97,7 +100,7 @@
 
     def on_message_complete(self) -> None:
         self.ended = self.status >= 200
-        if self.ended and not self.watch:
+        if self.ended:
             self.lists.feed(b"\n")
 
     def _read(self) -> None:
@@ -124,6 +127,8 @@
             self.owner.lost(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if exc is None and self.status == 200 and not self.done:
+            self.data_received(b"")  # an answer without length ends so
         self.fail()
 
 
