Begin no connection for a call to discovery that was given up before it began

Cause: `_connect` runs a turn after `_ask` and reads the address only then: of two moves in one turn (two SIGHUPs) both calls went to the second address, the first only to be cut as it came up. A crowded service paid for a connection that nobody wanted.

A stopped stream is not connected any more. Ruled out: a stopped stream whose connection comes up later sends nothing and takes no list (`done`).

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -247,3 +247,30 @@
             watch.close()
 
     run(main())
+
+
+def test_an_address_that_was_named_for_a_moment_costs_no_connection() -> None:
+    """Two SIGHUPs in a row: the call of the first is given up before it is begun."""
+
+    async def main() -> None:
+        async def count(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            opened.append(writer)
+            if await reader.read(1):
+                asked.set()
+
+        opened, asked = list[asyncio.StreamWriter](), asyncio.Event()
+        listener = await asyncio.start_server(count, "127.0.0.1", 0)
+        registry, other = Registry(), Registry()
+        closing = await other.start()
+        async with listener, closing, sidecar(Endpoint(), registry=registry) as one:
+            discovery = one.driver.discovery
+            assert discovery is not None
+            await registry.asked.get()
+            discovery.move(f"127.0.0.1:{other.port}")
+            discovery.move(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}")
+            await asked.wait()
+            assert len(opened) == 1 and other.asked.empty()
+            discovery.close()
+            opened[0].close()
+
+    run(main())
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -238,6 +238,8 @@
         return stream
 
     async def _connect(self, stream: Stream) -> None:
+        if stream.done:
+            return
         host, _, port = self.address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_S):
