--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -55,6 +55,7 @@
         self.transport: asyncio.Transport | None = None
         self.status = 0  # of the answer, once its head has come
         self.ended = False  # the answer has
+        self.other = False  # it told a list of another log than the one held
         self.done = False  # whole, or given up: its end says nothing
         self.heard = owner.loop.time()  # of it: a whole head or line, or the beginning of one
 
@@ -71,7 +72,10 @@
             return
         said = self.lists.said
         try:
-            self.parser.feed_data(data)
+            if data:
+                self.parser.feed_data(data)
+            else:
+                self.lists.feed(b"\n")
             self._read()
             # Guards against bytes that trickle in and never make a list.
             if self.lists.said > said:
@@ -96,13 +100,14 @@
 
     def on_message_complete(self) -> None:
         self.ended = self.status >= 200
-        if self.ended and not self.watch:
+        if self.ended:
             self.lists.feed(b"\n")
 
     def _read(self) -> None:
         if self.status == 200:
             for told in self.lists.whole():
                 if not self.owner.take(told):
+                    self.other = told.lineage != self.owner.held.name.lineage
                     self.fail()
                 elif not self.watch:
                     self.stop()
@@ -122,6 +127,8 @@
             self.owner.lost(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if exc is None and self.status == 200 and not self.done:
+            self.data_received(b"")  # an answer without length ends so
         self.fail()
 
 
@@ -231,6 +238,8 @@
         return stream
 
     async def _connect(self, stream: Stream) -> None:
+        if stream.done:
+            return
         host, _, port = self.address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_S):
@@ -282,7 +291,8 @@
     def lost(self, stream: Stream) -> None:
         if self.closed or self.watching:  # beside a watch, a call that failed says nothing
             return
-        if stream is self.stream:
+        # What was heard of another log, or of nobody, is no sign of the one held.
+        if stream is self.stream and stream.lists.said and not stream.other:
             self.held.heard = max(self.held.heard, stream.heard)
         if not self.out:  # once an outage, not once a try
             self.out = True
