Write nothing to a process that another has replaced while its connection came up

Cause: `Attempts.may_start` asks for the endpoint by its number. Where the list gave that number a new process at another address in the meantime, the answer was about the new one, and the request went out on the connection to the old one, however long ago that had been told away.

Seen: with the connect held back while the list moves the endpoint, the old process got the request. One merely left out was still written to, within its grace. Ruled out: a banned one, which `may_start` knew already; now kept by the same test.

Change: a connection whose pool is closed carries nothing that it has not begun; the attempt is told as never sent, and the module tries another endpoint.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -214,3 +214,28 @@
         back = await one.ask(request("pay", deadline_ms=400))
         assert [event.outcome for event in told] == [expected] and len(endpoint.got) == 1
         assert back.start.split()[1] in ("502", "504"), "it may have run: its client is not told to try again"
+
+
+@pytest.mark.parametrize("change", ["moved", "banned", "left out"])
+@on_loop
+async def test_nothing_is_written_to_a_process_that_went_while_its_connection_came_up(change: str) -> None:
+    old, new, other = Endpoint(), Endpoint(), Endpoint()
+    began, up = asyncio.Event(), asyncio.Event()
+    async with sidecar(old) as one:
+        told = outcomes(one)
+        with connects_held(began, up, lambda: not up.is_set()):
+            asked = asyncio.create_task(one.ask(request("pay")))
+            await began.wait()
+            listeners = [await new.start(), await other.start()]
+            (number,) = one.driver.places
+            # Moved: started anew at another address, under the same name.
+            first = {"moved": [new.entry("s-0", startedAtMs=1)], "banned": [old.entry("s-0")], "left out": []}
+            one.told(*first[change], other.entry("s-1"))
+            if change == "banned":
+                one.driver._detach(number)
+            up.set()
+            assert (await asked).start.split()[1] == "200"
+        assert [event.outcome for event in told] == [MOOT, OK]
+        assert not old.got and len(new.got + other.got) == 1
+        for listener in listeners:
+            listener.close()
--- a/woadyard/net/link.py
+++ b/woadyard/net/link.py
@@ -137,9 +137,9 @@
         attempt, transport = self.attempt, self.transport
         assert attempt is not None and transport is not None
         now = self.owner.now()
-        if not self.owner.may_start(attempt, now):
-            # Guards the rules after a slow connect: past the drain grace, the
-            # deadline or the final answer nothing may start.
+        if self.pool.closed or not self.owner.may_start(attempt, now):
+            # Guards the rules after a slow connect: past the drain grace, the deadline or
+            # the final answer nothing may start, nor at a process that another has replaced.
             self.attempt = None
             self.rest()
             self.owner.ended(attempt, MOOT, None, b"")
