Let no connection that rested too long carry a request, whatever the timer says

Cause: `Upstream._sweep` is armed with the idle time in force when the first of the connections came to rest.

Seen: with 30 s set to 6 s, one that had rested for 5 s stayed, up to 24 s; one that had rested for 24 s of 30 s carried the next request.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
@@ -16,12 +17,14 @@
     read_message,
     request,
     sidecar,
+    until,
 )
 from woadyard.interface import (
     MOOT,
     OK,
 )
 from woadyard.net.state import endpoint_number
+from woadyard.wire import read_settings
 
 
 @on_loop
@@ -134,3 +137,23 @@
         assert [event.outcome for event in told] == [MOOT] and not endpoint.got
         (known,) = one.driver.balancer.endpoints.values()
         assert all(health == 1.0 for health, _, _ in known.health)
+
+
+@pytest.mark.parametrize("late", ["settings", "sweep"])
+@on_loop
+async def test_what_rested_too_long_carries_nothing(late: str) -> None:
+    """Neither under settings that name a shorter time, nor where the sweep comes late."""
+    endpoint = Endpoint()
+    async with sidecar(endpoint, ceilings={"conn-idle-us": 30_000_000}) as one:
+        await one.ask(request(rid="r1"))
+        (link,) = one.upstream.links
+        await until(lambda: link in link.pool.idle)
+        if late == "settings":
+            link.idle_since -= 5.0
+            raw = {**one.driver.raw, "ceilings": {**one.driver.raw["ceilings"], "conn-idle-us": 6_000_000}}
+            one.driver.retune(raw, read_settings(json.dumps(raw).encode()))
+            assert not link.pool.idle, "at once, not when the time before would have been over"
+        else:
+            link.idle_since -= 24.0
+        await one.ask(request(rid="r2"))
+        assert endpoint.opened == 2
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -31,13 +31,13 @@
         most: int,
     ) -> None:
         self.loop, self.now = loop, now
-        self.retune(0, 0)
         self.most = most  # sockets of both sides
         self.others: Callable[[], int] = lambda: 0  # those of the callers
         self.give_way: Callable[[], bool] = lambda: False  # asks them for one
         self.pools: dict[int, Pool] = {}
         self.links: set[Link] = set()
         self.sweeping: asyncio.TimerHandle | None = None
+        self.retune(0, 0)
         self.buffer = memoryview(bytearray(READ_SIZE))  # one read at a time, whoever reads
         self.ended: Ended = lambda *_: None
         self.relay: Callable[[Attempt, Answer, int | None], bool] = lambda *_: False
@@ -46,6 +46,9 @@
     def retune(self, idle_us: int, connect_us: int) -> None:
         self.idle_s = IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6
         self.connect_s = (connect_us or CONNECT_DEFAULT_US) / 1e6
+        if self.sweeping is not None:  # it was set by the time that held before
+            self.sweeping.cancel()
+            self._sweep()
 
     def place(self, endpoint: int, host: str, port: int) -> None:
         """A new process or address: what was open to the old one is of no use."""
@@ -67,7 +70,8 @@
             return
         while pool.idle:
             link = pool.idle.pop()
-            if link.quiet():
+            # The sweep may be late on a loaded machine.
+            if self.loop.time() - link.idle_since < self.idle_s and link.quiet():
                 link.attempt, attempt.link = attempt, link
                 link.write()
                 return
