End an answer whose trailers or chunk extensions never end

Cause: `Link.read` bounded what comes before the status only. The parser gathers one header whole, a trailer too, and drops extensions without a word: an endpoint that sends them without an end held the attempt to its client's deadline, and its trailer in memory, copied anew with each read.

Seen: outcome TIMEOUT at the deadline for an endless trailer, endless trailers and an endless extension. Ruled out, and kept by the same test: interim answers without an end, which were bounded.

Change: what comes since the last byte of a body is bounded as a head is.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -28,12 +28,13 @@
     sidecar,
     until,
 )
-from woadyard.interface import CANCELLED, ERROR, MOOT, NO_CONNECT, OK, TIMEOUT
+from woadyard.interface import CANCELLED, ERROR, MOOT, NO_CONNECT, OK, RESET, TIMEOUT
 from woadyard.net.link import Link
 from woadyard.net.message import Attempt
 from woadyard.wire import read_settings
 
 TURNED_AWAY = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 CHUNK = b"4000\r\n%b\r\n" % (b"x" * 0x4000)
 
 
@@ -200,8 +201,21 @@
         ),
         (TURNED_AWAY + b"Content-Length: 9\r\n\r\nhalf", TIMEOUT),
         (b"HTTP/1.1 20", TIMEOUT),
+        (CHUNKED + b"2\r\nok\r\n0\r\nX: " + b"x" * 200_000, RESET),
+        (CHUNKED + CHUNK + b"0\r\n" + b"X: y\r\n" * 40_000, RESET),
+        (CHUNKED + b"2;" + b"x" * 200_000, RESET),
+        (b"HTTP/1.1 103 X\r\n\r\n" * 20_000, RESET),
+    ],
+    ids=[
+        "endless",
+        "endless chunks",
+        "half",
+        "half a status line",
+        "endless trailer",
+        "endless trailers",
+        "endless extension",
+        "endless interim",
     ],
-    ids=["endless", "endless chunks", "half", "half a status line"],
 )
 @on_loop
 async def test_an_answer_that_never_ends_proves_nothing(raw: bytes, expected: int) -> None:
--- a/woadyard/net/link.py
+++ b/woadyard/net/link.py
@@ -82,7 +82,7 @@
     def _begin(self) -> None:
         self.headers: Headers = []
         self.body: list[bytes] = []
-        self.size = self.fed = 0
+        self.size = self.fed = 0  # of the body, and of what came since its last byte
         self.load = b""
         self.status = 0  # of an answer whose head has come
         self.length: int | None = None
@@ -240,7 +240,7 @@
                 return
         if self.whole:
             self._finish()
-        elif self.status == 0 and self.fed > HEAD_MAX:
+        elif self.fed > HEAD_MAX:  # a head, or trailers, that the parser would gather without an end
             self._fail()
         elif self.size > HOLD_MAX and not self.relaying:
             self._finish()  # no answer to pass on: the rest of it tells nothing
@@ -274,6 +274,7 @@
 
     def on_body(self, data: bytes) -> None:
         self.size += len(data)
+        self.fed = 0
         if self.relaying:
             assert self.attempt is not None
             self.attempt.call.relay.part(data)
