Give up only the attempts that were out when a body was found stuck

Cause: `Requests.stuck` walked the list of attempts while its own report let the module begin the next one, which was put at the end of that list: it was given up before its connect had begun, and so on until no attempt was left.

Seen: a large body none of which had left yet was refused after all three attempts ended in one turn, with two endpoints never asked.

Change: walk a copy.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,6 +16,7 @@
 import pytest
 
 from tests.sockets import (
+    LARGE,
     SETTINGS,
     Endpoint,
     Message,
@@ -253,3 +254,20 @@
         assert not old.got and len(new.got + other.got) == 1
         for listener in listeners:
             listener.close()
+
+
+@on_loop
+async def test_an_attempt_that_takes_no_body_is_given_up_without_the_one_that_follows_it() -> None:
+    """A body too large to hold, and no connection up yet: all of it can still go elsewhere."""
+    began, up = asyncio.Event(), asyncio.Event()
+    async with sidecar(Endpoint(), Endpoint(), Endpoint()) as one:
+        told = outcomes(one)
+        with connects_held(began, up):
+            asked = asyncio.create_task(one.ask(request("pay", LARGE)))
+            await began.wait()
+            (call,) = one.driver.calls.values()
+            one.driver.requests.stuck(call)
+            assert [event.outcome for event in told] == [NO_CONNECT]
+            assert [attempt.out for attempt in call.attempts] == [False, True]
+            up.set()
+            assert (await asked).body == b"ok"
--- a/woadyard/net/requests.py
+++ b/woadyard/net/requests.py
@@ -52,7 +52,7 @@
 
     def stuck(self, call: Call) -> None:
         """The endpoint takes no more of a body: it can't have run what it has not."""
-        for attempt in call.attempts:
+        for attempt in [*call.attempts]:  # not the next, which the module may begin upon this
             self.stop(attempt, NO_CONNECT)
 
     def gone(self, call: Call) -> None:
