--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,6 +16,7 @@
 import pytest
 
 from tests.sockets import (
+    LARGE,
     SETTINGS,
     Endpoint,
     Message,
@@ -28,12 +29,13 @@
     sidecar,
     until,
 )
-from woadyard.interface import CANCELLED, ERROR, MOOT, NO_CONNECT, OK, TIMEOUT
+from woadyard.interface import CANCELLED, ERROR, MOOT, NO_CONNECT, OK, RESET, TIMEOUT
 from woadyard.net.link import Link
 from woadyard.net.message import Attempt
 from woadyard.wire import read_settings
 
 TURNED_AWAY = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 CHUNK = b"4000\r\n%b\r\n" % (b"x" * 0x4000)
 
 
@@ -200,8 +202,21 @@
         ),
         (TURNED_AWAY + b"Content-Length: 9\r\n\r\nhalf", TIMEOUT),
         (b"HTTP/1.1 20", TIMEOUT),
+        (CHUNKED + b"2\r\nok\r\n0\r\nX: " + b"x" * 200_000, RESET),
+        (CHUNKED + CHUNK + b"0\r\n" + b"X: y\r\n" * 40_000, RESET),
+        (CHUNKED + b"2;" + b"x" * 200_000, RESET),
+        (b"HTTP/1.1 103 X\r\n\r\n" * 20_000, RESET),
+    ],
+    ids=[
+        "endless",
+        "endless chunks",
+        "half",
+        "half a status line",
+        "endless trailer",
+        "endless trailers",
+        "endless extension",
+        "endless interim",
     ],
-    ids=["endless", "endless chunks", "half", "half a status line"],
 )
 @on_loop
 async def test_an_answer_that_never_ends_proves_nothing(raw: bytes, expected: int) -> None:
@@ -214,3 +229,45 @@
         back = await one.ask(request("pay", deadline_ms=400))
         assert [event.outcome for event in told] == [expected] and len(endpoint.got) == 1
         assert back.start.split()[1] in ("502", "504"), "it may have run: its client is not told to try again"
+
+
+@pytest.mark.parametrize("change", ["moved", "banned", "left out"])
+@on_loop
+async def test_nothing_is_written_to_a_process_that_went_while_its_connection_came_up(change: str) -> None:
+    old, new, other = Endpoint(), Endpoint(), Endpoint()
+    began, up = asyncio.Event(), asyncio.Event()
+    async with sidecar(old) as one:
+        told = outcomes(one)
+        with connects_held(began, up, lambda: not up.is_set()):
+            asked = asyncio.create_task(one.ask(request("pay")))
+            await began.wait()
+            listeners = [await new.start(), await other.start()]
+            (number,) = one.driver.places
+            # Moved: started anew at another address, under the same name.
+            first = {"moved": [new.entry("s-0", startedAtMs=1)], "banned": [old.entry("s-0")], "left out": []}
+            one.told(*first[change], other.entry("s-1"))
+            if change == "banned":
+                one.driver._detach(number)
+            up.set()
+            assert (await asked).start.split()[1] == "200"
+        assert [event.outcome for event in told] == [MOOT, OK]
+        assert not old.got and len(new.got + other.got) == 1
+        for listener in listeners:
+            listener.close()
+
+
+@on_loop
+async def test_an_attempt_that_takes_no_body_is_given_up_without_the_one_that_follows_it() -> None:
+    """A body too large to hold, and no connection up yet: all of it can still go elsewhere."""
+    began, up = asyncio.Event(), asyncio.Event()
+    async with sidecar(Endpoint(), Endpoint(), Endpoint()) as one:
+        told = outcomes(one)
+        with connects_held(began, up):
+            asked = asyncio.create_task(one.ask(request("pay", LARGE)))
+            await began.wait()
+            (call,) = one.driver.calls.values()
+            one.driver.requests.stuck(call)
+            assert [event.outcome for event in told] == [NO_CONNECT]
+            assert [attempt.out for attempt in call.attempts] == [False, True]
+            up.set()
+            assert (await asked).body == b"ok"
