In a crowd close who owes a request for long before who came to rest just now

Cause: `Server.give_way` took whoever rested longest before anyone else, however short that was. Each newcomer of an idle crowd so closed a good caller's connection within moments of its answer, where the next request may be on its way: it is no first one, and is lost if the connection ends under it. Callers that had owed a request for over 2 s, and may be closed, were kept meanwhile.

Now the order is: who was answered for good; who brought nothing for 2 s; who rests for 2 s; who brought half a request in 2 s; and only then who rests for less. A good newcomer still finds a place while anyone rests.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -114,6 +114,30 @@
         await until(lambda: not one.server.callers)
 
 
+@pytest.mark.parametrize("sent", [b"", b"GET /pa"], ids=["silent", "half a request"])
+@on_loop
+async def test_who_owes_a_request_for_long_gives_way_before_who_came_to_rest_just_now(sent: bytes) -> None:
+    """The next request of the one at rest may be on its way: that one would be lost."""
+    async with sidecar(Endpoint()) as one:
+        one.server.most = 4  # 3 of them for callers
+        one.server.waits.crowd_s = one.server.waits.request_s = TIMEOUT_S
+        resting, resting_writer, _ = await joined(one)
+        resting_writer.write(request(rid="rests"))
+        assert (await read_message(resting)).body == b"ok"
+        reader, writer, owing = await joined(one)
+        _, fresh_writer, fresh = await joined(one)
+        writer.write(sent)
+        await until(lambda: owing.incoming.reading == bool(sent))
+        owing.owed_since -= 2 * TIMEOUT_S
+        assert (await one.ask(request(rid="good"))).body == b"ok"
+        assert await reader.read() == b"" and fresh in one.server.callers
+        resting_writer.write(request(rid="again"))
+        assert (await read_message(resting)).body == b"ok"
+        for each in (writer, fresh_writer, resting_writer):
+            each.close()
+        await until(lambda: not one.server.callers)
+
+
 @on_loop
 async def test_ids_that_are_remembered_are_bounded_in_number(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("woadyard.net.server.IDS_MOST", 3)
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
-from itertools import chain
+from collections.abc import Callable, Iterator
 
 from woadyard.net.asked import MAX_U63, BadRequestError
 from woadyard.net.caller import Caller
@@ -139,21 +138,28 @@
             self.sweeping = self.driver.loop.call_later(self.waits.rest_s, self._sweep)
 
     def give_way(self) -> bool:
-        """One socket less: who had time to read its last answer, or else the caller longest
-        at rest, or else the first to come of those who owe a request for long. Whoever is
-        served is left alone, as long as a byte of its answer is unwritten."""
-        now = self.driver.loop.time()
-        limit, owed = now - self.waits.answered_s, now - self.waits.crowd_s
-        lingering = (one for one, since in self.lingering.items() if since <= limit)
-        owing = (one for one in self.callers if one.patience is not None and one.call is None)
-        late = (one for one in owing if one.owed_since <= owed)
-        caller = next((one for one in chain(lingering, self.resting, late) if one.written), None)
+        """One socket less. Whoever is served is left alone, as long as a byte of its
+        answer is unwritten."""
+        caller = next((one for one in self._dispensable() if one.written), None)
         if caller is None:
             return False
         self.close(caller)
         self.callers.pop(caller, None)
         return True
 
+    def _dispensable(self) -> Iterator[Caller]:
+        """Who may be closed, the least to be missed first: the next request of one that
+        came to rest just now may be on its way, and would be lost."""
+        now = self.driver.loop.time()
+        limit, owed = now - self.waits.answered_s, now - self.waits.crowd_s
+        yield from (one for one, since in self.lingering.items() if since <= limit)
+        owing = (one for one in self.callers if one.patience is not None and one.call is None)
+        late = [one for one in owing if one.owed_since <= owed]
+        yield from (one for one in late if not one.incoming.reading)
+        yield from (one for one, since in self.resting.items() if since <= owed)
+        yield from late
+        yield from self.resting
+
     def _sweep(self) -> None:
         """Drop who rested too long; one timer serves all connections."""
         self.sweeping = None
