--- a/tests/test_bad_bytes.py
+++ b/tests/test_bad_bytes.py
@@ -200,3 +200,23 @@
         assert owes_nothing(one)
         writer.close()
         await until(lambda: not one.server.callers)
+
+
+@pytest.mark.parametrize("head", [request("pay").replace(b"Length: 0", b"Length: 60000000"), b"\xff\xfe"])
+@on_loop
+async def test_sixty_megabytes_after_a_refusal_are_dropped_and_the_answer_still_comes(head: bytes) -> None:
+    endpoint = Endpoint()
+    async with sidecar(endpoint) as one:
+        one.server.waits.linger_s = TIMEOUT_S
+        reader, writer = await one.connect()
+        writer.write(head)
+        await until(lambda: any(caller.over for caller in one.server.callers))
+        (caller,) = one.server.callers
+        for _ in range(30):
+            writer.write(GARBAGE)
+            await writer.drain()
+        assert not caller.incoming.body and caller.incoming.fed <= READ_SIZE, "none of it is read"
+        assert (await read_message(reader)).start.split()[1] in ("400", "413")
+        assert await reader.read() == b"" and not endpoint.got and owes_nothing(one)
+        writer.close()
+        await until(lambda: not one.server.callers)
