Keep one poll object for each connection of a client

A look at a client made a poll object and registered with it each time: 3.0 µs on a loaded machine, twice an attempt. Kept with the connection it is 2.4 µs there, most of it the call.

--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -13,7 +13,7 @@
 from woadyard.net.incoming import Incoming
 from woadyard.net.message import READ_SIZE, Answer, Call, Carrier, Upload
 from woadyard.net.passing import Passing
-from woadyard.net.presence import has_left, reset
+from woadyard.net.presence import Presence, reset
 from woadyard.net.turns import now_us
 from woadyard.net.waits import LOAD_LEAST, LOADING_US, STUCK_LOOKS
 
@@ -31,6 +31,7 @@
         self.server, self.loop = server, server.driver.loop
         self.requests = server.driver.requests
         self.transport: asyncio.Transport | None = None
+        self.presence: Presence | None = None
         self.call: Call | None = None
         self.upload: Upload | None = None  # the body of `call`, while it comes
         self.passing: Passing | None = None  # an answer that is passed on
@@ -51,6 +52,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=READ_SIZE)
+        self.presence = Presence(self.transport)
         self.server.joined(self)
         self._wait()
 
@@ -70,7 +72,7 @@
 
     def there(self) -> bool:
         """Asked before each attempt; where the client has left all of its requests end."""
-        if self.transport is not None and not has_left(self.transport):
+        if self.presence is not None and not self.presence.has_left():
             return True
         self.leave()
         return False
--- a/woadyard/net/presence.py
+++ b/woadyard/net/presence.py
@@ -14,17 +14,25 @@
 LOOK_S = 0.05  # between looks at who is not read: an attempt may begin 0.1 s after its client left
 
 
-def has_left(transport: asyncio.Transport) -> bool:
-    """Asks the system: the loop hears of an end only in its turn, and of none while it
-    does not read. Where the system can't tell, the loop's word is all there is."""
-    if transport.is_closing():
-        return True
-    poll = select.poll()
-    try:
-        poll.register(transport.get_extra_info("socket").fileno(), ENDED)
-        return any(event & LEFT for _, event in poll.poll(0))
-    except OSError:
-        return False
+class Presence:
+    """Of the client of one connection. Asks the system: the loop hears of an end only in
+    its turn, and of none while it does not read. Where the system can't tell, the loop's
+    word is all there is."""
+
+    __slots__ = ("poll", "transport")
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self.transport, self.poll = transport, select.poll()
+        self.poll.register(transport.get_extra_info("socket").fileno(), ENDED)
+
+    def has_left(self) -> bool:
+        if self.transport.is_closing():
+            return True
+        try:
+            told = self.poll.poll(0)
+        except OSError:
+            return False
+        return bool(told) and bool(told[0][1] & LEFT)
 
 
 def reset(transport: asyncio.Transport) -> None:
