Send no keyed repeat whose connection comes up after its repeat window

Cause: the module decides on a keyed repeat within the window, but `Attempts.may_start`, asked when the connection is up and the request is written, knew only deadline, final answer and drain. Where the window is shorter than a dial may take (300 ms against 1 s), the repeat was written after the endpoints had forgotten the first attempt, and could run a second time.

`may_start` now also holds the window, from the first attempt that may have run (an outcome that proves the contrary takes it out; a full one only where the settings do not call that unproven). The module hears MOOT, as of every attempt that came too late, and ends the request.

--- a/woadyard/net/attempts.py
+++ b/woadyard/net/attempts.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from woadyard.interface import CANCELLED, MOOT, OK, TIMEOUT, Outcome, Send
+from woadyard.interface import CANCELLED, FULL, KEYED, MOOT, NEVER_RAN, OK, TIMEOUT, Outcome, Send
 from woadyard.net.message import Answer, Attempt
 from woadyard.net.names import InForce
 from woadyard.net.places import Places
@@ -32,7 +32,18 @@
     def may_start(self, attempt: Attempt, now: int) -> bool:
         if not attempt.call.open or now >= attempt.until:
             return False
-        return self.places.may_start(attempt.endpoint, now)
+        return self._remembered(attempt, now) and self.places.may_start(attempt.endpoint, now)
+
+    def _remembered(self, attempt: Attempt, now: int) -> bool:
+        """Guards a keyed repeat whose connection comes up late: past the window of the first
+        attempt that may have run, the endpoints no longer know it for a repeat."""
+        call = attempt.call
+        cls = self.force.settings.classes[call.cls]
+        if cls.effect != KEYED:
+            return True
+        earlier = (one for one in call.attempts[: attempt.copy] if one.may_have_run)
+        first = next(earlier, None)
+        return first is None or now - first.sent < cls.window_us
 
     def send(self, action: Send) -> None:
         now, call = now_us(), self.requests.calls.get(action.request)
@@ -87,6 +98,8 @@
         if not attempt.out:
             return
         attempt.out = False
+        proven = outcome in NEVER_RAN and (outcome != FULL or not self.force.settings.full_unproven)
+        attempt.may_have_run = not proven
         if attempt.timer is not None:
             attempt.timer.cancel()
             attempt.timer = None
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -153,8 +153,8 @@
 
 class Attempt:
     __slots__ = (
-        "call", "copy", "endpoint", "extra", "head_us", "link", "out", "sent", "timer", "until",
-        "wrote",
+        "call", "copy", "endpoint", "extra", "head_us", "link", "may_have_run", "out", "sent", "timer",
+        "until", "wrote",
     )  # fmt: skip
 
     def __init__(self, call: Call, copy: int, endpoint: int, now: int, until: int) -> None:
@@ -165,6 +165,7 @@
         self.until = until  # when the sidecar stops waiting
         self.out = True  # no outcome yet
         self.extra = b""  # header lines of this attempt alone
+        self.may_have_run = True  # until its outcome shows that it never ran
         self.wrote = False  # a byte of it may have reached the endpoint
         self.head_us = 0  # until its answer began to be passed on
         self.link: Carrier | None = None
