Remember a request's id for as long as the request may run

Cause: `Server.claim` forgot each id 30 s after it was taken (`IDS_S`), which no setting bounds: where a class has a deadline of 40 or 60 s, or a large body is still coming, a stray copy of a request under way was taken and sent once more.

An id is now also kept until its request's time is up; the oldest is looked at again every 30 s, so memory stays bounded by what comes within that time and what is still under way.

Tests: with the time set to 50 ms a copy of a held request hung at the endpoint (sent a second time) without the change and gets its 409 with it; ids of requests past their time are forgotten.

--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -25,6 +25,7 @@
     sidecar,
     until,
 )
+from woadyard.net import server
 from woadyard.net.link import Link
 from woadyard.wire import read_settings
 
@@ -228,3 +229,36 @@
         for rid, count in runs.items():
             assert count <= (1 if effects[rid] == "fragile" else most)
         await settled(one)
+
+
+@on_loop
+async def test_an_id_is_remembered_for_as_long_as_its_request_may_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(server, "IDS_S", 0.05)
+    endpoint = Endpoint(hold)
+    async with sidecar(endpoint) as one:
+        retuned(one, a_class("fragile", **{"deadline-us": 60_000_000}))
+        _, writer = await one.connect()
+        writer.write(request("pay", deadline_ms=60_000, rid="r1"))
+        await endpoint.arrived.acquire()
+        for _ in range(3):
+            await asyncio.sleep(0.06)
+            copy = await one.ask(request("pay", deadline_ms=60_000, rid="r1"))
+            assert copy.start.startswith("HTTP/1.1 409")
+        assert len(endpoint.got) == 1
+        writer.close()
+        await settled(one)
+
+
+@on_loop
+async def test_ids_of_requests_past_their_time_are_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server, "IDS_S", 0.05)
+    endpoint = Endpoint()
+    async with sidecar(endpoint) as one:
+        for n in range(40):
+            await one.ask(request("pay", deadline_ms=30 if n else 60_000, rid=f"r{n}"))
+        await asyncio.sleep(0.2)
+        await one.ask(request("pay", rid="last"))
+        assert set(one.server.ids) == {b"r0", b"last"}
+        await settled(one)
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -193,7 +193,7 @@
             return Answer(200 if server.serving else 503)
         read = self.incoming
         call = read_call(server.driver, read.method, read.target, read.headers, self, server.answered_by)
-        server.claim(request_id(read.headers))
+        server.claim(request_id(read.headers), call.expires)
         call.body = b"".join(read.body)
         return call if not server.shut_out else server.turn_away()
 
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -24,7 +24,7 @@
 ANSWERED_S, ANSWER_S = 0.3, 1.0
 READ_S = 0.002  # one turn of the loop
 BACKLOG = 1024
-# Ids of requests are remembered for this long, longer than any of them runs.
+# Ids of requests are remembered for this long, and for as long as the request may run.
 IDS_S, ID_MAX = 30.0, 128
 
 
@@ -39,7 +39,8 @@
         self.callers: dict[Caller, None] = {}  # the first to come first
         self.resting: dict[Caller, float] = {}  # between requests since, the longest first
         self.sweeping: asyncio.TimerHandle | None = None
-        self.ids: dict[bytes, float] = {}  # of requests taken, the oldest first
+        # Of requests: when that was or was looked at last, the oldest first, and when its time is up; µs.
+        self.ids: dict[bytes, tuple[int, int]] = {}
         self.stopping = False  # told to
         self.shut_out = False  # from now on requests are turned away; those taken are finished
         self.closing = False  # no connection is kept any more
@@ -66,17 +67,19 @@
         metrics.answered(503, 0)
         return Answer(503, b"Retry-After: 1\r\n" if self.driver.settings.retry_after else b"")
 
-    def claim(self, name: bytes) -> None:
+    def claim(self, name: bytes, expires: int) -> None:
         """An id is for one request. Guards the endpoints against stray copies: one
         that runs twice breaks a rule, and an answer to it would blame who gave it."""
         if not 0 < len(name) <= ID_MAX:
             raise BadRequestError(400, "X-Request-Id is missing, doubled or too long")
-        now = self.driver.loop.time()
-        while self.ids and (oldest := next(iter(self.ids.items())))[1] <= now - IDS_S:
+        now = self.driver.now()
+        while self.ids and (oldest := next(iter(self.ids.items())))[1][0] <= now - IDS_S * 1e6:
             del self.ids[oldest[0]]
+            if (until := oldest[1][1]) > now:
+                self.ids[oldest[0]] = now, until
         if name in self.ids:
             raise BadRequestError(409, "X-Request-Id was taken before")
-        self.ids[name] = now
+        self.ids[name] = now, expires
 
     async def listen(self, host: str, port: int) -> int:
         loop = self.driver.loop
