--- a/woadyard/net/asked.py
+++ b/woadyard/net/asked.py
@@ -104,7 +104,7 @@
     if read.checks_health:
         return Answer(200 if server.serving else 503)
     call = read_call(server.driver, read.method, read.target, read.headers, relay, server.answered_by)
-    server.claim(request_id(read.headers))
+    server.claim(request_id(read.headers), call.expires)
     call.body = b"".join(read.body)
     return call if not server.turning_away else server.turn_away()
 
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -255,9 +255,8 @@
         self._served()
 
     def _shed(self, answer: Answer) -> None:
-        """An answer while the body is still coming. That is read and dropped, by its
-        progress: a caller may look for the answer only once all is written, and
-        would find the connection reset under it."""
+        """An answer while the body is still coming. That is read and dropped, by its progress:
+        a caller that looks for the answer once all is written would find a reset."""
         self.upload, self.shedding, self.keep = None, True, False
         self._pace()
         if self.transport is not None and not self.transport.is_closing():
@@ -308,8 +307,7 @@
         self._served()
 
     def pause_writing(self) -> None:
-        """Guards memory against a caller that never reads: nothing more is served to
-        it meanwhile, and after a while it is cut off."""
+        """Guards memory against who never reads: served no more, and cut off after a while."""
         self.clogged = True
         if self.passing is not None:
             self.passing.source.pace(True)
@@ -398,10 +396,5 @@
         elif self.incoming.reading and not (self.over or self.shedding):
             self._write_last(Answer(503))
 
-    @property
-    def silent(self) -> bool:
-        """Whether it has not brought a byte yet."""
-        return not (self.incoming.fed or self.incoming.target)
-
     def idle(self) -> bool:
         return self.call is None and not self.waiting and not self.incoming.reading
--- a/woadyard/net/incoming.py
+++ b/woadyard/net/incoming.py
@@ -68,6 +68,11 @@
         """Whether chunks are unknown to the caller."""
         return self.parser.get_http_version() == "1.0"
 
+    @property
+    def silent(self) -> bool:
+        """Whether the caller has not brought a byte yet."""
+        return not (self.fed or self.target)
+
     @property
     def checks_health(self) -> bool:
         return self.target.partition(b"?")[0] == READY_PATH
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -30,7 +30,7 @@
 ANSWER_LEAST_S = 0.1  # where all deadlines are short
 READ_S = 0.002  # one turn of the loop
 BACKLOG = 1024
-# Ids of requests are remembered for this long, longer than any of them runs.
+# Ids of requests are remembered for this long, and for as long as the request may run.
 IDS_S, ID_MAX = 30.0, 128
 # And no more than these, the latest: guards memory against floods of them.
 IDS_MOST = 32_768
@@ -58,7 +58,8 @@
         self.lingering: dict[Caller, float] = {}  # answered for good since, the longest first
         self.unread = Unread(driver.loop)
         self.sweeping: asyncio.TimerHandle | None = None
-        self.ids: dict[bytes, float] = {}  # of requests taken, the oldest first
+        # Of requests: when that was or was looked at last, the oldest first, and when its time is up; µs.
+        self.ids: dict[bytes, tuple[int, int]] = {}
         self.stopping = False  # told to
         self.shut_out = False  # from now on requests are turned away; those taken are finished
         self.closing = False  # no connection is kept any more
@@ -90,17 +91,19 @@
         metrics.answered(503, 0)
         return Answer(503, b"Retry-After: 1\r\n" if self.driver.settings.retry_after else b"")
 
-    def claim(self, name: bytes) -> None:
+    def claim(self, name: bytes, expires: int) -> None:
         """An id is for one request. Guards the endpoints against stray copies: one
         that runs twice breaks a rule, and an answer to it would blame who gave it."""
         if not 0 < len(name) <= ID_MAX:
             raise BadRequestError(400, "X-Request-Id is missing, doubled or too long")
-        now = self.driver.loop.time()
-        while self.ids and (oldest := next(iter(self.ids.items())))[1] <= now - IDS_S:
+        now = self.driver.now()
+        while self.ids and (oldest := next(iter(self.ids.items())))[1][0] <= now - IDS_S * 1e6:
             del self.ids[oldest[0]]
+            if (until := oldest[1][1]) > now:
+                self.ids[oldest[0]] = now, until
         if name in self.ids:
             raise BadRequestError(409, "X-Request-Id was taken before")
-        self.ids[name] = now
+        self.ids[name] = now, expires
         if len(self.ids) > IDS_MOST:
             del self.ids[next(iter(self.ids))]
 
@@ -130,7 +133,7 @@
             self.give_way()
         if self._crowded():
             latest = islice(reversed(self.callers), max(1, int(LATEST_PART * len(self.callers))))
-            last = [one for one in latest if one.silent][-1]
+            last = [one for one in latest if one.incoming.silent][-1]
             last.over = True
             del self.callers[last]
             if last.transport is not None:
