--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -270,7 +270,7 @@
         late.leave(how)
         it.one.server.last_joined = 0.0
         await until(lambda: it.one.server.last_joined > 0)
-        first.leave()
+        first.transport.abort()
         await it.settled()
         late.socket.close()
         assert not it.sent
