Bound requests held by what is let through too, as answers lag behind a rise

Admission.full allowed what the answers of late account for. Answers take 1.4 s there and their rate is taken over twice that, so a rise of demand by half had its first seconds refused, refused clients came again, and the least worthy classes bore it: prints on a scratch copy show 20 to 99 of 45 to 130 requests a second shed by that bound at one front while every result was good and none was shed by the share.

Change: once a copy knows its unloaded time, the rate of requests let through counts beside that of answers, up to twice the latter, so that a jam is bounded as before.

The new test fails without the change (20 refused).

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import replace
 
 from tests.helpers import MS, PATIENT, SECOND, SETTINGS, Driver, fleet, sends, started
@@ -40,6 +40,24 @@
     assert sends(driver.ask(6 * SECOND)[1]), "open again once they are answered"
 
 
+def test_a_rise_in_what_is_asked_is_let_through_before_its_answers_come() -> None:
+    """The other deployment's calm day: cheap classes were shed while all answers were good, as
+    a copy trusted only the rate of its answers, which lags behind a rise by seconds."""
+    admission, due, refused = Admission(PATIENT.aim_us), deque[int](), 0
+    for now in [*range(0, 20 * SECOND, 100 * MS), *range(20 * SECOND, 26 * SECOND, 30 * MS)]:
+        while due and due[0] <= now:
+            admission.note(due.popleft(), SECOND, True, True, PATIENT.aim_us)
+        if admission.admits(now, len(due), (0.0, 0.0), 0.0):
+            due.append(now + SECOND)
+        elif now >= 20 * SECOND:
+            refused += 1
+    assert refused == 0
+    for now in range(26 * SECOND, 46 * SECOND, 30 * MS):
+        if admission.admits(now, len(due), (0.0, 0.0), 0.0):
+            due.append(now + SECOND)
+    assert len(due) < 100, "with no answers at all it is bounded as before"
+
+
 def shed_by(driver: Driver, kinds: list[tuple[int, int]], now: int) -> Counter[tuple[int, int]]:
     """Requests let through of each (class, tenant), asked for in turn and left unanswered."""
     through: Counter[tuple[int, int]] = Counter()
--- a/woadyard/policy/admission.py
+++ b/woadyard/policy/admission.py
@@ -36,11 +36,10 @@
     def __init__(self, aim_us: float) -> None:
         # What a request takes by now, over more looks, for less noise, and unloaded: the least of those.
         self.took = self.calm = self.base = self.aim = aim_us  # and the mean aim
-        self.count, self.results = 0, 0.0  # in all, and within the present look
-        self.began = self.at = self.calm_at = self.busy_at = 0  # when few were last held, and many
-        self.settled = self.standing = False
+        self.count, self.results, self.sent = 0, 0.0, 0.0  # in all; lately, and let through lately
+        self.began = self.at = self.sent_at = self.calm_at = self.busy_at = 0  # few last held, and many
         self.least, self.share = float(HELD_MIN), 1.0  # so many may always be held; the share let through
-        self.bounded = -1  # when the bound on held requests last refused one
+        self.settled, self.standing, self.bounded = False, False, -1  # bounded: when it last refused one
 
     def note(self, now: int, took: int, good: bool, answered: bool, aim: int) -> None:
         """One admitted request's result; the steps balance at ADMIT_GOOD, at less the more is shed."""
@@ -68,16 +67,21 @@
     def admits(self, now: int, held: int, place: tuple[float, float], chance: float) -> bool:
         """Whether to take a request: the least worthy work gives way first."""
         less, more = place
-        alike = max(1e-9, 1.0 - less - more)
-        share = min(1.0, self.share)
+        share, alike = min(1.0, self.share), max(1e-9, 1.0 - less - more)
         part = max(WORTHLESS_PART * share, min(1.0, (share - more) / alike))
-        return chance < part and not self.full(now, held / (1.0 + WORTHY_MORE * less))
+        if through := chance < part and not self.full(now, held / (1.0 + WORTHY_MORE * less)):
+            self.sent = 1.0 + self.sent * exp((self.sent_at - now) / (ADMIT_MEMORY * self.took))
+            self.sent_at = now
+        return through
 
     def full(self, now: int, held: float) -> bool:
         """Guards against choked endpoints: they queue for seconds before an answer is late."""
         memory = ADMIT_MEMORY * self.took
-        answers = self.results * exp((self.at - now) / memory) / memory
-        usual = answers * min(self.base, BASE_MOST * self.aim)
+        # Results lag behind a rise; up to a twofold, what was let through tells of it (base being known).
+        recent = self.results * exp((self.at - now) / memory)
+        sent = self.sent * exp((self.sent_at - now) / memory) * self.settled
+        recent = max(recent, min(ADMIT_RISE * recent, sent))
+        usual = recent / memory * min(self.base, BASE_MOST * self.aim)
         # Fewer than HELD_FEW are no queue, however seldom this copy is asked.
         tight = max(HELD_FEW, STANDING_OVER * usual + STANDING_CHANCE * sqrt(usual))
         loose = HELD_OVER * usual + HELD_CHANCE * sqrt(usual)
--- a/woadyard/policy/choice.py
+++ b/woadyard/policy/choice.py
@@ -96,12 +96,8 @@
 
     def _eligible(self, now: int, request: Request, endpoint: Endpoint) -> bool:
         tried = any(attempt.endpoint is endpoint for attempt in request.attempts)
-        if (
-            tried
-            or endpoint.arm != request.arm
-            or now < endpoint.crowded
-            or endpoint.inflight >= endpoint.cap
-        ):
+        held_back = now < endpoint.crowded or endpoint.inflight >= endpoint.cap
+        if tried or held_back or endpoint.arm != request.arm:
             return False
         return not self.slow.is_cold(now, endpoint) or self.slow.budget(now, endpoint) >= 1.0
 
