--- a/woadyard/policy/admission.py
+++ b/woadyard/policy/admission.py
@@ -21,7 +21,7 @@
 BASE_SAMPLES, CALM_LOOKS, BASE_RISE, BASE_MOST = 30, 2, 0.01, 0.5
 # HELD_EACH for each endpoint that falls to a copy are always let through, HELD_MOST at most; a part of them
 # while no unloaded time is known or a queue stands; HELD_FEW where copies are many, HELD_MIN with no queue.
-HELD_EACH, HELD_MOST, HELD_NEW, HELD_PART, HELD_MIN, HELD_FEW = 8, 24, 0.5, 0.75, 8, 2
+HELD_EACH, HELD_MOST, HELD_NEW, HELD_PART, HELD_MIN, HELD_FEW = 8, 24, 0.75, 0.75, 8, 2
 MIX_MEMORY = 100.0  # work asked for, in requests, over which its mix of worth is remembered
 # The most worthy work may fill the bound on held requests by this much more than the least worthy, that gives
 # way first; that still gets this part of what all would get alike, as a class must not starve.
