With a stale list leave alone what turns requests away: it may drain

Cause: what discovery has binds 6 s after it could be reached, and in a crowd some sidecars are told later than that whatever they do (docs/findings/discovery-crowd.md). They kept trying endpoints that drained: turned away unseen, an endpoint lost only a little weight and was drawn again.

Change: from a start or a loss of discovery up to the next list (`Context.stale`) an endpoint that turns a request away unseen, or can't be reached, is left alone for 12 s (four times the time that discovery may go unasked), as long as half of the endpoints are left (`Health.blame`). A list ends it.

--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,6 +7,7 @@
 from tests.helpers import MS, SECOND, SETTINGS, Driver, fleet, sends, started
 from woadyard.interface import (
     DRAINING,
+    FULL,
     GONE,
     LIST_CACHED,
     LIST_DELTA,
@@ -133,3 +134,64 @@
     balancer.membership.trials.clear()
     balancer.outcome(3 * SECOND + MS, Outcome(99, 0, endpoint, NO_CONNECT, MS))
     assert endpoint in balancer.membership.trials
+
+
+def tried(turning_away: set[int], stale: bool, stop: int) -> dict[int, list[int]]:
+    """When each of 16 endpoints was sent something up to `stop`, 20 requests a second from 1 s on."""
+    balancer = started(16, asks_discovery=True, ask_within_us=3 * SECOND)
+    if stale:
+        balancer.members(SECOND, LIST_FAILED, [])
+    when: dict[int, list[int]] = {}
+    driver = Driver(balancer)
+    for now in range(SECOND, stop, 50 * MS):
+        rid, actions = driver.ask(now)
+        for copy in range(3):
+            for sent in sends(actions):
+                when.setdefault(sent.endpoint, []).append(now)
+                outcome = FULL if sent.endpoint in turning_away else OK
+                actions = balancer.outcome(now + 5 * MS, Outcome(rid, copy, sent.endpoint, outcome, 5 * MS))
+                break
+            else:
+                break
+    return when
+
+
+def test_with_a_stale_list_what_turns_requests_away_is_left_alone() -> None:
+    """It may drain, which discovery could not tell: what it has to tell binds after 6 s all the same."""
+    away = {105, 106, 113}  # all on its arc
+    stale, told = tried(away, True, 12 * SECOND), tried(away, False, 12 * SECOND)
+    assert all(max(stale[one]) < 6 * SECOND for one in away)
+    assert all(max(told[one]) > 6 * SECOND for one in away), "it may be full for the moment only"
+
+
+def test_with_a_stale_list_half_of_the_endpoints_stay_in_use_and_the_others_are_tried_again() -> None:
+    when = tried(set(range(100, 116)), True, 40 * SECOND)
+    late = [one for one, times in when.items() if any(10 * SECOND < at < 12 * SECOND for at in times)]
+    assert len(late) >= 8
+    assert all(max(times) > 13 * SECOND for times in when.values()), "not for ever"
+
+
+def test_a_list_that_comes_ends_what_its_lack_had_left_alone() -> None:
+    balancer = started(16, asks_discovery=True)
+    balancer.members(SECOND, LIST_FAILED, [])
+    for one in balancer.endpoints.values():
+        one.crowded = 60 * SECOND
+    balancer.members(2 * SECOND, LIST_DELTA, [])
+    assert not any(one.crowded for one in balancer.endpoints.values())
+    balancer.endpoints[100].crowded = 60 * SECOND
+    balancer.members(3 * SECOND, LIST_DELTA, [])
+    assert balancer.endpoints[100].crowded, "a list after a list changes nothing"
+
+
+def test_a_list_from_before_the_start_is_no_word_of_discovery() -> None:
+    """It may be old: until discovery is heard what turns requests away is left alone, and calls that
+    fail slowly are made again as late as any after a start."""
+    settings = replace(SETTINGS, asks_discovery=True, ask_within_us=3 * SECOND)
+    balancer = Balancer(1, settings)
+    balancer.start(0)
+    balancer.members(0, LIST_CACHED, fleet(8))
+    assert balancer.ctx.stale and balancer.membership.slow
+    balancer.members(SECOND, LIST_DELTA, [])
+    assert not balancer.ctx.stale and not balancer.membership.slow
+    pushed = started(8)
+    assert not pushed.ctx.stale
--- a/woadyard/policy/state.py
+++ b/woadyard/policy/state.py
@@ -94,6 +94,7 @@
         self.out: list[Action] = []
         self.latencies: list[Latency] = []  # by class
         self.latency = Latency()
+        self.stale = settings.asks_discovery  # the list: nothing heard of discovery since a start or loss
         self.zones: Zones | None = None
         self.split: Split | None = None  # the experiment in force
         self.derive(settings)
