--- a/woadyard/registry/host.py
+++ b/woadyard/registry/host.py
@@ -2,12 +2,13 @@
 
 Pure. A term is one writer's reign: it begins with that writer's `lead` record, and
 every record carries it, so that nothing of a writer that was replaced is taken any
-more (the fencing token of Raft's terms; Ongaro and Ousterhout, 2014). Nobody elects
-writers here, so terms are made as the ballots of Paxos are, of three parts: the era,
-one more where another process takes the writer's place; the start, one more where the
-same one starts anew, so that a writer back from a crash never outdoes the process that
-was given its place meanwhile; and a salt by chance, so that no two processes that both
-began to write have a term in common.
+more (the fencing token of Raft's terms; Ongaro and Ousterhout, 2014). Where operators
+appoint writers, nobody votes, so terms are made as the ballots of Paxos are, of three
+parts: the era, one more where another process takes the writer's place; the start, one
+more where the same one starts anew, so that a writer back from a crash never outdoes the
+process that was given its place meanwhile; and a salt by chance, so that no two processes
+that both began to write have a term in common. Elected writers (election.py) count on
+by the start.
 
 The running hash `chain` covers every record from the first: two logs with one chain
 at one index hold the same records up to there.
@@ -31,11 +32,11 @@
 NO_CHAIN = "0" * 32
 
 
-def next_term(seen: int, resumes: bool) -> int:
+def next_term(seen: int, resumes: bool, salt: int | None = None) -> int:
     """The term of a process that begins to write and has heard of no term above `seen`;
-    `resumes` where that was its own."""
+    `resumes` where that was its own. `salt` (24 bits) is drawn where none is given."""
     shift = SALT_BITS if resumes else ERA_SHIFT
-    return (seen >> shift) + 1 << shift | secrets.randbits(SALT_BITS)
+    return (seen >> shift) + 1 << shift | (secrets.randbits(SALT_BITS) if salt is None else salt)
 
 
 def link(chain: str, record: Record) -> str:
--- a/woadyard/registry/log.py
+++ b/woadyard/registry/log.py
@@ -89,7 +89,7 @@
     def snapshot(self, host: Host) -> None:
         """The host whole beside the last snapshot, renamed over it, and the log emptied."""
         content = json.dumps(host.dump()).encode()
-        self._replace(self.snapshot_path, content)
+        replace(self.snapshot_path, content)
         self.snapshot_size = len(content)
         with open(self.log_path, "wb") as file:  # its records are all in the snapshot
             os.fsync(file.fileno())
@@ -102,13 +102,13 @@
 
     def see(self, term: int) -> None:
         """Keep the greatest term told of over a restart."""
-        self._replace(self.seen_path, str(term).encode())
+        replace(self.seen_path, str(term).encode())
 
     def identity(self) -> str:
         """The name of the process with this folder."""
         path = self.folder / "id"
         if not path.exists():
-            self._replace(path, secrets.token_hex(8).encode())
+            replace(path, secrets.token_hex(8).encode())
         return path.read_text()
 
     def seen(self) -> int:
@@ -117,18 +117,20 @@
         except ValueError:
             raise StateError(f"{self.seen_path} holds no term") from None
 
-    def _replace(self, path: Path, content: bytes) -> None:
-        aside = path.with_suffix(".tmp")
-        with open(aside, "wb") as file:
-            file.write(content)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(aside, path)
-        folder = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+
+def replace(path: Path, content: bytes) -> None:
+    """Written aside, synced, and renamed over what was there; OSError of the disk."""
+    aside = path.with_suffix(".tmp")
+    with open(aside, "wb") as file:
+        file.write(content)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(aside, path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
 
 
 def _read_json(path: Path) -> Any:
