--- a/woadyard/limits/service.py
+++ b/woadyard/limits/service.py
@@ -52,4 +52,4 @@
         return answer(Granted(grants, registry.host.lineage, registry.host.term))
 
     registry.counts.holders.set_function(lambda: registry.book(LimitsBook).holders(registry.clock()))
-    return [web.post(SHARES_PATH + "{name}", at_writer(registry, hold))]
+    return [web.post(SHARES_PATH + "{name}", at_writer(registry, hold, settles=True))]
--- a/woadyard/lists/service.py
+++ b/woadyard/lists/service.py
@@ -144,7 +144,7 @@
     one = PATH + "/{name}"
     return [
         web.get(PATH, calls.read),
-        web.put(one, at_writer(registry, calls.put)),
-        web.post(one + "/renew", at_writer(registry, calls.renew)),
-        web.delete(one, at_writer(registry, calls.drop)),
+        web.put(one, at_writer(registry, calls.put, settles=True)),
+        web.post(one + "/renew", at_writer(registry, calls.renew, settles=True)),
+        web.delete(one, at_writer(registry, calls.drop, settles=True)),
     ]
--- a/woadyard/registry/__init__.py
+++ b/woadyard/registry/__init__.py
@@ -25,6 +25,11 @@
         help="answer a write to the list once N replicas hold it, so that none that was answered "
         "is lost with this process",
     )  # fmt: skip
+    parser.add_argument(
+        "--elect", action="store_true",
+        help="the processes of this log, this one and those in --peers, elect the one that writes; "
+        "a write is answered once most of them hold it",
+    )  # fmt: skip
     parser.add_argument(
         "--take-over", action="store_true",
         help="write on from this log though another one, of a greater term, was heard of; "
--- a/woadyard/registry/answers.py
+++ b/woadyard/registry/answers.py
@@ -15,7 +15,7 @@
 
 from woadyard.errors import PeerError, PlanError, RecordError, StateError, TraceError, WoadyardError
 from woadyard.registry.refusal import Refusal
-from woadyard.registry.service import DeposedError, Registry, UnsettledError
+from woadyard.registry.service import DeposedError, LeaderlessError, Registry, UnsettledError
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 T = TypeVar("T")
@@ -38,7 +38,10 @@
 
 def refused(error: WoadyardError) -> web.Response:
     status = next((status for kind, status in STATUS if isinstance(error, kind)), 500)
-    return refusal(status, str(error), error.remedy)
+    back = refusal(status, str(error), error.remedy)
+    if (after_s := getattr(error, "retry_after_s", None)) is not None:
+        back.headers["Retry-After"] = str(after_s)
+    return back
 
 
 def answer(told: Any) -> web.Response:
@@ -62,8 +65,9 @@
         raise PeerError(f"bad query: {error}", "send the query that the call's page names") from None
 
 
-def at_writer(registry: Registry, handler: Handler) -> Handler:
-    """A call that only the writer answers: a replica sends the caller on."""
+def at_writer(registry: Registry, handler: Handler, settles: bool = False) -> Handler:
+    """A call that only the writer answers: a replica sends the caller on. An elected writer
+    answers a write once most members hold it; `settles`: the handler sees to that itself."""
 
     async def handle(request: web.Request) -> web.StreamResponse:
         if registry.writer is not None:
@@ -72,7 +76,16 @@
             return back
         if registry.deposed:
             raise DeposedError(f"term {registry.seen} has begun elsewhere")
-        return await handler(request)
+        if registry.leaderless:
+            raise LeaderlessError(
+                f"no writer is elected that this member knows of, since term {registry.seen}"
+            )
+        if registry.election is None or settles or request.method == "GET":
+            return await handler(request)
+        term = registry.host.term
+        told = await handler(request)
+        await registry.settle(registry.host.applied, term)
+        return told
 
     return handle
 
--- a/woadyard/registry/command.py
+++ b/woadyard/registry/command.py
@@ -17,6 +17,7 @@
 from woadyard.net.config import address, addresses
 from woadyard.ops import logs
 from woadyard.registry import add_arguments
+from woadyard.registry.elector import Elector, members
 from woadyard.registry.follow import Follower
 from woadyard.registry.http import serve
 from woadyard.registry.log import Journal
@@ -34,7 +35,9 @@
     return made
 
 
-async def run(registry: Registry, arguments: argparse.Namespace, plans: PlansSettings | None) -> None:
+async def run(
+    registry: Registry, arguments: argparse.Namespace, plans: PlansSettings | None, elector: Elector | None
+) -> None:
     loop = asyncio.get_running_loop()
     task = asyncio.current_task()
     assert task is not None
@@ -42,23 +45,28 @@
     loop.add_signal_handler(signal.SIGINT, task.cancel)
 
     def listening(bound: int) -> None:
-        if registry.writer is None:
+        if registry.writer is None and elector is None:
             registry.lead(arguments.take_over)
         fields = {"index": registry.host.applied, "term": registry.host.term}
-        LOG.info("listening", extra={"port": bound, **fields, "writer": registry.writer or "this"})
-        follower = Follower(registry, random.Random(), arguments.stale_after)
-        tasks.append(loop.create_task(follower.run()))
+        writer = "to be elected" if elector is not None else registry.writer or "this"
+        LOG.info("listening", extra={"port": bound, **fields, "writer": writer})
+        if elector is not None:
+            tasks.append(loop.create_task(elector.run()))
+        else:
+            follower = Follower(registry, random.Random(), arguments.stale_after)
+            tasks.append(loop.create_task(follower.run()))
         if plans is not None:
             tasks.append(loop.create_task(Planner(registry, plans).run()))
-        if peers.addresses:
+        if peers.addresses and elector is None:
             tasks.append(loop.create_task(peers.run()))
 
     peers = Peers(registry, arguments.peers, random.Random())
     tasks: list[asyncio.Task[None]] = []
     try:
-        if not arguments.take_over:
+        if not arguments.take_over and elector is None:
             await peers.ask()  # one of them may have taken this one's place while it was down
-        await serve(registry, *address(arguments.listen), listening)
+        more = elector.routes() if elector is not None else ()
+        await serve(registry, *address(arguments.listen), listening, more)
     except asyncio.CancelledError:
         LOG.info("stopped", extra={"index": registry.host.applied})
     finally:
@@ -74,6 +82,17 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def elector_of(registry: Registry, arguments: argparse.Namespace) -> Elector:
+    """ConfigError where the arguments name a writer, or too few members."""
+    if arguments.follow is not None or arguments.take_over or arguments.copies:
+        raise ConfigError(
+            "--elect goes with none of --follow, --take-over and --copies",
+            "leave them out: the members elect the writer, and most of them hold each write",
+        )
+    others = members(arguments.listen, arguments.peers)
+    return Elector(registry, others, arguments.stale_after, random.Random())
+
+
 def start(arguments: argparse.Namespace) -> int:
     logs.setup()
     try:
@@ -86,7 +105,8 @@
         registry = Registry(Journal(arguments.data), writer=arguments.follow, copies=arguments.copies)
         if arguments.audit_rules is not None:
             registry.rules = read_rules(arguments.audit_rules)
-        uvloop.run(run(registry, arguments, plans))
+        elector = elector_of(registry, arguments) if arguments.elect else None
+        uvloop.run(run(registry, arguments, plans, elector))
     except WoadyardError as error:
         LOG.error("can't start", extra=error.fields())
         return 2
--- a/woadyard/registry/follow.py
+++ b/woadyard/registry/follow.py
@@ -48,14 +48,18 @@
         rng: random.Random,
         stale_s: float,
         clock: Callable[[], float] = time.monotonic,
+        poll_s: float = POLL_S,
     ) -> None:
-        self.registry, self.stale_s, self.clock = registry, stale_s, clock
+        self.registry, self.stale_s, self.clock, self.poll_s = registry, stale_s, clock, poll_s
         self.named = registry.writer  # where a writer that it was sent on to fails, it begins anew
         self.backoff = Backoff(rng, RETRY_S, RETRY_MOST_S)
         self.heard = self.clock()
 
     async def run(self) -> None:
         self.registry.set_stale(self.registry.writer is not None)  # until the writer's first word
+        await self.follow()
+
+    async def follow(self) -> None:
         while True:
             if self.registry.writer is None:
                 await self.registry.waiters.woken(ROLE, 60.0)
@@ -75,12 +79,12 @@
         registry, host = self.registry, self.registry.host
         query = {
             "after": host.applied, "chain": host.chain, "lineage": host.lineage, "term": registry.seen,
-            "wait": POLL_S, "who": registry.name,
+            "wait": self.poll_s, "who": registry.name,
             # A writer from before the running hash waits by the list's version.
             "index": registry.book(ListBook).version,
         }  # fmt: skip
         target = f"{LOG_PATH}?{urlencode(query)}"
-        status, body = await fetch(_address(writer), "GET", target, timeout_s=CALL_S)
+        status, body = await fetch(_address(writer), "GET", target, timeout_s=self.poll_s + CALL_S - POLL_S)
         if status != 200:
             self._refused(status, body)
         told = json.loads(body)
@@ -96,7 +100,7 @@
     def _refused(self, status: int, body: bytes) -> None:
         """Raises what the writer's refusal comes to, or turns to whom it names."""
         found = read_refusal(body)
-        if found.writer is not None:
+        if found.writer is not None and self.registry.election is None:  # who leads is elected
             _address(found.writer)
             self.registry.writer = found.writer
         raise RecordError(f"the writer answers {status}: {found.error}", found.remedy)
@@ -141,9 +145,13 @@
         registry = self.registry
         if registry.writer is not None and self.named is not None and isinstance(error, FetchError):
             registry.writer = self.named
-        if not registry.stale and self.clock() - self.heard > self.stale_s:
-            LOG.warning("out of touch with the writer", extra={"error": str(error)})
-            registry.set_stale(True)
+        self.look(str(error))
+
+    def look(self, error: str) -> None:
+        """Say so where the writer was not heard for too long."""
+        if not self.registry.stale and self.clock() - self.heard > self.stale_s:
+            LOG.warning("out of touch with the writer", extra={"error": error})
+            self.registry.set_stale(True)
 
 
 def _address(text: str) -> tuple[str, int]:
--- a/woadyard/registry/http.py
+++ b/woadyard/registry/http.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from aiohttp import web
@@ -54,7 +54,7 @@
         transport.abort()
 
 
-def application(registry: Registry) -> web.Application:
+def application(registry: Registry, more: Sequence[web.RouteDef] = ()) -> web.Application:
     @web.middleware
     async def common(request: web.Request, handler: Handler) -> web.StreamResponse:
         try:
@@ -76,14 +76,21 @@
         return web.Response(body=generate_latest(registry.counts.registry), content_type="text/plain")
 
     app = web.Application(middlewares=[common], client_max_size=BODY_MAX)
-    app.add_routes([web.get("/_metrics", metrics), *routes(registry)])
+    app.add_routes([web.get("/_metrics", metrics), *routes(registry), *more])
     return app
 
 
-async def serve(registry: Registry, host: str, port: int, ready: Callable[[int], None]) -> None:
-    """Listen until cancelled; `ready` hears the port once it listens."""
+async def serve(
+    registry: Registry,
+    host: str,
+    port: int,
+    ready: Callable[[int], None],
+    more: Sequence[web.RouteDef] = (),
+) -> None:
+    """Listen until cancelled; `ready` hears the port once it listens. `more` are calls beside
+    those in `routes`."""
     loop = asyncio.get_running_loop()
-    runner = web.AppRunner(application(registry), handler_cancellation=True, shutdown_timeout=0.1)
+    runner = web.AppRunner(application(registry, more), handler_cancellation=True, shutdown_timeout=0.1)
     await runner.setup()
     manager = runner.server
     assert manager is not None
--- a/woadyard/registry/replication.py
+++ b/woadyard/registry/replication.py
@@ -3,7 +3,8 @@
 - `GET /registry/log?after=INDEX&chain=HASH&wait=S&lineage=L&term=T&who=NAME`: for replicas, the
   records past INDEX, or the state whole where HASH is not this log's there; once there is
   one, or after S seconds. T is the greatest term that the replica heard of, NAME its own.
-- `GET /registry/term`: who leads, `{"lineage", "term", "seen", "leads", "writer"}`.
+- `GET /registry/term`: who leads, `{"lineage", "term", "seen", "leads", "writer"}`; where its
+  members elect, with `role`, `standing` and the other `members` besides.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 from woadyard.registry.answers import answer, at_writer, query
 from woadyard.registry.host import NO_CHAIN
 from woadyard.registry.service import Registry
-from woadyard.registry.waiters import COPIES_TOPIC, LOG_TOPIC
+from woadyard.registry.waiters import LOG_TOPIC
 
 LOG_PATH, TERM_PATH = "/registry/log", "/registry/term"
 WAIT_MOST_S = 60.0
@@ -48,8 +49,7 @@
         registry.counts.reads.labels("log").inc()
         registry.hear(asked.lineage, asked.term, f"a replica at {request.remote}")
         if asked.who and registry.journal.tail.chain_at(asked.after) == asked.chain:
-            registry.copies.proven(asked.who, asked.after, time.monotonic())
-            registry.waiters.wake(COPIES_TOPIC)
+            registry.proven(asked.who, asked.after)
         if asked.after == registry.host.applied:
             wait_s = min(WAIT_MOST_S, max(0.0, asked.wait))
             await registry.waiters.until(
@@ -59,8 +59,9 @@
 
     async def term(request: web.Request) -> web.StreamResponse:
         host = registry.host
-        return answer(
-            Standing(host.lineage, host.term, registry.seen, registry.leads, registry.writer, host.applied)
-        )
+        told = Standing(host.lineage, host.term, registry.seen, registry.leads, registry.writer, host.applied)
+        if registry.election is None:
+            return answer(told)
+        return answer({**msgspec.structs.asdict(told), **registry.election.told(time.monotonic())})
 
     return [web.get(LOG_PATH, at_writer(registry, log)), web.get(TERM_PATH, term)]
--- a/woadyard/registry/service.py
+++ b/woadyard/registry/service.py
@@ -1,6 +1,7 @@
 """The log in service: its one writer or a replica of it, with waiters, timers and counts.
 
-The writer is the process without `--follow`; who leads is the operators' choice. A
+The writer is the process without `--follow`; who leads is the operators' choice, or,
+with `--elect`, the choice of the processes themselves (election.py, elector.py). A
 replica replays the writer's records in their order, each through its own log, so its
 books are the same at the same index, and may take the writer's place by a start
 without `--follow`: that begins a term above every one it heard of. A writer that
@@ -23,6 +24,7 @@
 from woadyard.registry.books import books
 from woadyard.registry.copies import Copies
 from woadyard.registry.counts import Counts
+from woadyard.registry.election import Election
 from woadyard.registry.host import ERA_SHIFT, LEAD, TERM_MOST, Host, next_term
 from woadyard.registry.log import Journal
 from woadyard.registry.waiters import COPIES_TOPIC, LOG_TOPIC, Waiters
@@ -35,6 +37,7 @@
 ERAS_MOST = 1_000
 SETTLE_S = 2.0  # a write waits so long for its copies
 AGAIN_S = 1.0  # a record that was due and could not be written is tried again
+SURE_S, UNSURE_S = 1.0, 0.1  # an elected writer ends leases if a majority polled within; else it looks again
 LOG = logging.getLogger(__name__)
 B = TypeVar("B", bound=Book)
 
@@ -48,12 +51,26 @@
     )
 
 
+class LeaderlessError(DeposedError):
+    """No writer is elected that this process knows of."""
+
+    remedy = "make the call again, here or at another member; see that most members run and are reached"
+    retry_after_s = 2
+
+
 class UnsettledError(StateError):
     """A write is on this log and not yet on as many replicas as have to hold it."""
 
     remedy = "make the call again; see whether the replicas run and follow"
 
 
+class MinorityError(UnsettledError):
+    """A write is not known to be held by most members of the log; it may be yet."""
+
+    remedy = "make the call again, here or at another member; see that most members run and are reached"
+    retry_after_s = 2
+
+
 def steady() -> Callable[[], int]:
     """Wall time as it is now, going on by the monotonic clock: a clock that is set
     ends no lease. Over a restart every lease runs anew, so none counts on the first."""
@@ -72,6 +89,9 @@
         writer: str | None = None,
         copies: int = 0,
     ) -> None:
+        self.election: Election | None = None  # of this log's members, where they elect
+        self.led_from = 0  # index of the record by which this process was elected
+        self.leaderless = False  # of members that elect: no writer is known
         self.journal, self.clock, self.writer = journal, clock or steady(), writer
         self.host = Host(books())
         journal.recover(self.host)
@@ -98,7 +118,7 @@
 
     @property
     def leads(self) -> bool:
-        return self.writer is None and not self.deposed
+        return self.writer is None and not self.deposed and not self.leaderless
 
     @property
     def behind(self) -> bool:
@@ -122,13 +142,29 @@
         self.seen = term
         self.arm()
 
+    def lead_elected(self, term: int) -> None:
+        """Begin to write in a term that most members voted for. StateError of the disk."""
+        lineage = self.host.lineage or secrets.token_hex(8)
+        self.copies = Copies(self.copies.needed)  # what was held in another reign says nothing
+        self.replay({"op": LEAD, "lineage": lineage, "term": term, "by": self.name, "at": self.clock()})
+        self.led_from = self.host.applied
+        self.writer, self.deposed, self.leaderless = None, False, False
+        self.set_stale(False)
+        self.waiters.wake(LOG_TOPIC)
+        self.arm()
+
+    def yield_to(self, writer: str | None) -> None:
+        """From now on a replica of the elected writer at this address, or of none that is known."""
+        self.writer, self.deposed, self.leaderless = writer, False, writer is None
+        self.waiters.wake(LOG_TOPIC, COPIES_TOPIC)
+
     def commit(self, record: Record) -> int:
         """Log and apply a record, at this process's term and time; its index. `RecordError`
         where its book turns it down, `DeposedError` where this process leads no more,
         `StateError` where the disk refuses it; nothing of it was then applied."""
         try:
             if not self.leads:
-                raise DeposedError(f"this process does not write: it is at term {self.host.term}")
+                raise self._deposed(f"this process does not write: it is at term {self.host.term}")
             self.replay({**record, "term": self.host.term, "at": self.clock()})
         except RecordError:
             self.counts.writes.labels("refused").inc()
@@ -140,20 +176,40 @@
         self.arm()
         return self.host.applied
 
+    def proven(self, replica: str, index: int) -> None:
+        """A replica has shown that it holds the log up to `index`. Of members that elect
+        the others' copies count alone."""
+        now = time.monotonic()
+        if self.election is None or self.election.polled(replica, index, now):
+            self.copies.proven(replica, index, now)
+            self.waiters.wake(COPIES_TOPIC)
+
     def held(self) -> int:
         """The index up to which the replicas that have to are known to hold the log: what
-        stands there outlives this process and its disk."""
-        return self.copies.held(self.host.applied, time.monotonic())
-
-    async def settle(self, index: int) -> None:
-        """Returns once record `index` is held by the `--copies` replicas that have to hold
-        it, at once where that is none; `UnsettledError` after `SETTLE_S`."""
+        stands there outlives this process and its disk. -1 where an elected writer's own
+        first record is not held yet: before that nothing is known (Raft, figure 8)."""
+        reach = self.copies.held(self.host.applied, time.monotonic())
+        return reach if reach >= self.led_from else -1
+
+    async def settle(self, index: int, term: int | None = None) -> None:
+        """Returns once record `index`, of this `term` (by default the present one), is held
+        by the replicas that have to hold it, at once where that is none; `UnsettledError`
+        after `SETTLE_S`."""
+        term = self.host.term if term is None else term
         if self.copies.needed and not await self.waiters.until(
-            COPIES_TOPIC, lambda: self.held() >= index or not self.leads, SETTLE_S
+            COPIES_TOPIC, lambda: self.held() >= index or not self._leads_in(term), SETTLE_S
         ):
-            raise UnsettledError(f"record {index} is not yet at {self.copies.needed} replicas")
-        if not self.leads:
-            raise DeposedError(f"record {index} may be lost: another process leads")
+            kind = UnsettledError if self.election is None else MinorityError
+            raise kind(f"record {index} is not yet at {self.copies.needed} replicas")
+        if not self._leads_in(term):
+            raise self._deposed(f"record {index} may be lost: another process leads")
+
+    def _leads_in(self, term: int) -> bool:
+        # The index alone names no record: a writer that was elected again has others there.
+        return self.leads and self.host.term == term
+
+    def _deposed(self, what: str) -> DeposedError:
+        return DeposedError(what) if self.election is None else LeaderlessError(what)
 
     def write(self, record: Record) -> tuple[int, str]:
         """`commit`, as an HTTP status and a body in JSON."""
@@ -198,21 +254,26 @@
     def _due(self, record: Record) -> None:
         if not self.leads:
             return
+        if self.election is not None and not self._sure(self.election):
+            self.timer = asyncio.get_running_loop().call_later(UNSURE_S, self.arm)
+            return
         try:
             self.commit(record)
         except (RecordError, StateError) as error:
             LOG.error("what came due can't be written", extra=error.fields())
             self.timer = asyncio.get_running_loop().call_later(AGAIN_S, self.arm)
 
+    def _sure(self, election: Election) -> bool:
+        """Whether most members followed just now: one cut off from them may be cut off from
+        those that renew too, and ends no lease."""
+        return self.held() >= self.led_from and time.monotonic() - election.confirmed_at() < SURE_S
+
     # --- Terms ------------------------------------------------------------------------
 
     def hear(self, lineage: str, term: int, by: str) -> None:
         """Somebody acts on `term`. One above this process's own, of its own log, means
         that another process was given the writer's place: this one writes no more."""
-        if lineage != self.host.lineage or term <= self.seen:
-            return
-        if term >= TERM_MOST or (term >> ERA_SHIFT) - (self.seen >> ERA_SHIFT) > ERAS_MOST:
-            LOG.warning("a term that can't be", extra={"term": term, "by": by})
+        if lineage != self.host.lineage or term <= self.seen or not self.plausible(term, by):
             return
         self.seen = term
         try:
@@ -222,7 +283,18 @@
         if self.leads:
             self._depose(term, by)
 
+    def plausible(self, term: int, by: str) -> bool:
+        """Whether writers and elections can have come to this term by now."""
+        if term < TERM_MOST and (term >> ERA_SHIFT) - (self.seen >> ERA_SHIFT) <= ERAS_MOST:
+            return True
+        LOG.warning("a term that can't be", extra={"term": term, "by": by})
+        return False
+
     def _depose(self, term: int, by: str) -> None:
+        if self.election is not None:
+            LOG.info("a greater term was heard of", extra={"term": self.host.term, "greater": term, "by": by})
+            self.yield_to(None)
+            return
         self.deposed = True
         fields = {"term": self.host.term, "greater": term, "by": by, "remedy": DeposedError.remedy}
         LOG.error("deposed: another process writes, this one stops", extra=fields)
