--- a/woadyard/standins/__main__.py
+++ b/woadyard/standins/__main__.py
@@ -20,7 +20,7 @@
 from woadyard.standins.behaviour import KINDS, Manner, manner
 from woadyard.standins.endpoint import StandIn
 from woadyard.standins.lease import Lease
-from woadyard.standins.proxy import FaultProxy
+from woadyard.standins.proxy import DELAY, FaultProxy
 from woadyard.standins.schedule import drawn, play
 
 LOG = logging.getLogger("woadyard.standins")
@@ -46,12 +46,19 @@
     link.add_argument("--listen", default="127.0.0.1:0", metavar="HOST:PORT")
     link.add_argument("--target", required=True, metavar="HOST:PORT")
     link.add_argument("--seed", type=int, default=0)
+    link.add_argument("--delay-ms", type=span, metavar="LOW,HIGH", help="each way, while no fault is drawn")
     link.add_argument("--faults-s", type=float, default=0.0, help="for so long; then it passes")
     whole = commands.add_parser("fleet", help="the list service, three endpoints and a sidecar")
     whole.add_argument("--config", default="deploy/example.json")
     return made
 
 
+def span(text: str) -> tuple[float, float]:
+    """Two times in ms, as s."""
+    low, high = (float(one) / 1000 for one in text.split(","))
+    return low, high
+
+
 def asked(options: argparse.Namespace) -> Manner:
     changes: dict[str, Any] = {}
     for word in options.set:
@@ -95,6 +102,8 @@
     relay = FaultProxy(port, host, seed=options.seed)
     relay.host, at = config.address(options.listen)
     await relay.start(at)
+    if options.delay_ms is not None:
+        relay.fault(DELAY, delay_s=options.delay_ms)
     LOG.info("listening", extra={"port": relay.port, "target": options.target})
     if options.faults_s:
         await play(drawn(options.seed, [LINK], options.faults_s), {LINK: relay})
