--- a/benchmarks/scale/control.py
+++ b/benchmarks/scale/control.py
@@ -38,8 +38,10 @@
 
 def shown(phase: str, told: Sequence[Point]) -> None:
     """The phase's figures, in short; and in full size where they are void."""
-    if told and told[0].void:
-        say(f"VOID {phase}: the driver's loop came {told[0].driver_lag_p99_ms} ms late (p99)")
+    if told:
+        one = told[0]
+        late = f"the driver's loops came {one.driver_lag_p99_ms} ms late (p99)"
+        say("VOID" if one.void else "fine", f"{phase}: {late}, {one.driver_cpu} of a core; load {one.load}")
     for one in told:
         say(f"  {one.phase:8} {one.role:8} {one.metric:26} {one.value:>14.6g} {one.unit}  {one.note}")
 
