--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -18,6 +18,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Sequence
 from contextlib import closing, suppress
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -31,7 +32,7 @@
 from woadyard.net.gossip import TELL_MOST
 from woadyard.shared.store import VERDICT, SharedStore
 
-INTERVAL_MS, TRIP_US, RUNS, BOUND_US = 500, 2_000, 20, 10_000_000
+INTERVAL_MS, TRIP_US, RUNS, BOUND_US, WIRE_US = 500, 2_000, 20, 10_000_000, 30_000_000
 
 
 def show(name: str, times: HdrHistogram) -> None:
@@ -42,9 +43,10 @@
 class Pure:
     """Stores that exchange as `woadyard.net.gossip` does, on one clock, µs."""
 
-    def __init__(self, size: int, rng: random.Random) -> None:
-        self.stores = [SharedStore(f"n{n}@{n:08x}", {VERDICT: BOUND_US}) for n in range(size)]
-        self.known = {f"n{n}" for n in range(size)}
+    def __init__(self, size: int, rng: random.Random, names: Sequence[str] = ()) -> None:
+        named = names or [f"n{n}" for n in range(size)]
+        self.stores = [SharedStore(f"{name}@{n:08x}", {VERDICT: BOUND_US}) for n, name in enumerate(named)]
+        self.known = set(named)
         self.rng, self.bytes = rng, 0
         self.due = [(int(rng.random() * INTERVAL_MS * 1000), n) for n in range(size)]
         heapq.heapify(self.due)
@@ -70,30 +72,32 @@
         return now
 
 
-def pure(size: int) -> None:
+def pure(size: int, runs: int = RUNS, names: Sequence[str] = ()) -> HdrHistogram:
+    """Times until each other store holds one's first verdict, µs."""
     times = HdrHistogram(1, 600_000_000, 3)
-    for seed in range(RUNS):
-        fleet, heard = Pure(size, random.Random(seed)), {0}
+    for seed in range(runs):
+        fleet = Pure(size, random.Random(seed), names)
+        first, waiting = fleet.stores[0].me, set(range(1, size))
         fleet.stores[0].publish(0, VERDICT, "1", EJECTED)
-        while len(heard) < size:
+        while waiting:
             now = fleet.step()
-            for n, store in enumerate(fleet.stores):
-                if n not in heard and "n0@00000000" in store.vector:
-                    heard.add(n)
-                    times.record_value(max(1, now))
-    show(f"convergence, {size} pure stores, {RUNS} runs", times)
+            assert now < BOUND_US, "past its bound it is told to nobody"
+            for n in [n for n in waiting if first in fleet.stores[n].vector]:
+                waiting.discard(n)
+                times.record_value(max(1, now))
+    return times
 
 
-def wire(size: int, accusers: int) -> None:
+def wire(size: int, accusers: int, seed: int = 1, names: Sequence[str] = ()) -> float:
     """Bytes of bodies a second and sidecar, each accuser renewing one verdict."""
-    fleet, now, last = Pure(size, random.Random(1)), 0, -1
-    while now < 30_000_000:
+    fleet, now, last = Pure(size, random.Random(seed), names), 0, -1
+    while now < WIRE_US:
         now = fleet.step()
         if now // (BOUND_US // 4) != last:
             last = now // (BOUND_US // 4)
             for store in fleet.stores[:accusers]:
                 store.publish(now, VERDICT, "1234567890123456789", EJECTED)
-    print(f"wire, {size} sidecars, {accusers} accusing: {fleet.bytes / 30 / size:.0f} bytes/s each")
+    return fleet.bytes / (WIRE_US / 1e6) / size
 
 
 async def fleet(lab: Lab, size: int, entries: list[dict[str, Any]], **more: Any) -> list[Program]:
@@ -148,9 +152,9 @@
 async def main() -> None:
     logging.getLogger("woadyard").setLevel(logging.ERROR)
     for size in (5, 50, 200):
-        pure(size)
+        show(f"convergence, {size} pure stores, {RUNS} runs", pure(size))
     for accusers in (0, 1, 20):
-        wire(200, accusers)
+        print(f"wire, 200 sidecars, {accusers} accusing: {wire(200, accusers):.0f} bytes/s each")
     for size in (5, 50):
         await processes(size)
     for _ in range(2):
--- /dev/null
+++ b/benchmarks/scale/origin.py
@@ -0,0 +1,80 @@
+"""A stand-in endpoint that costs little and counts connections: `python -m benchmarks.scale.origin`.
+
+`woadyard.standins` draws service times and counts what it was asked; here the way to an endpoint
+is measured, so that the endpoint answers at once. `GET /_counts` tells, as JSON and by the
+`X-Way` of the first request on them, the connections taken so far and those open now; and the
+requests answered by theirs. Ends at SIGTERM.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import signal
+from collections import Counter
+from typing import cast
+
+import httptools
+import uvloop
+
+BODY = b"x" * 200
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%b" % (len(BODY), BODY)
+COUNTS, WAY = b"/_counts", b"x-way"
+
+
+class Counts:
+    def __init__(self) -> None:
+        self.taken, self.open, self.answered = Counter[str](), Counter[str](), Counter[str]()
+
+
+class Origin(asyncio.Protocol):
+    def __init__(self, counts: Counts) -> None:
+        self.counts = counts
+        self.parser = httptools.HttpRequestParser(self)
+        self.url, self.way = b"", ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self.way:
+            self.counts.open[self.way] -= 1
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abort()
+
+    def on_url(self, url: bytes) -> None:
+        self.url = url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.way and name.lower() == WAY:
+            self.way = value.decode("latin-1")
+            self.counts.taken[self.way] += 1
+            self.counts.open[self.way] += 1
+
+    def on_message_complete(self) -> None:
+        if self.url != COUNTS:
+            self.counts.answered[self.way] += 1
+            self.transport.write(ANSWER)
+            return
+        body = json.dumps(vars(self.counts)).encode()
+        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+async def main() -> None:
+    loop, over, counts = asyncio.get_running_loop(), asyncio.Event(), Counts()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, over.set)
+    server = await loop.create_server(lambda: Origin(counts), "127.0.0.1", 0)
+    gc.disable()  # a pause of the endpoint is none of the sidecar's
+    print(json.dumps({"event": "listening", "port": server.sockets[0].getsockname()[1]}), flush=True)
+    await over.wait()
+    server.close()
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
