Count what the sidecar lost, what was sent anew and what the host stole

The driver now sends once more what crossed a close between requests, as the protocol has it, tells each result by its name, and each play says the share that was stolen. Warm-up goes with the number of entries.

--- a/benchmarks/scale/latency.py
+++ b/benchmarks/scale/latency.py
@@ -8,6 +8,7 @@
 only sidecar, so that it draws from all; `arcs`, with as many sidecars as entries, so that it draws
 from its arc of the ring; `entry`, as `inner` where requests enter and admission looks at each.
 `decision_s` is what the module's decisions take for one request, measured apart, in this process.
+`steal_share` is what the machine's own host took of its cores meanwhile: it makes both arms late.
 """
 
 from __future__ import annotations
@@ -37,7 +38,7 @@
 OUT = Path("docs/capacity/path.jsonl")
 SIZES, TURNS = (9, 60, 1_100), 3
 RATE, SEED = 310.0, 27
-WARM_S, SECONDS = 10.0, 20.0
+WARM_S, WARM_EACH, WARM_MOST_S, SECONDS = 3.0, 4, 15.0, 20.0  # each entry is met so often before
 ORIGINS, REGISTER_AT_ONCE, LEASE_MS = 4, 8, 3_600_000
 DECISIONS, SERVED_US = 20_000, 3_000
 PHASES = ("inner", "arcs", "entry")
@@ -84,13 +85,13 @@
         driver = self.python("driver", "benchmarks.scale.openloop", msgspec.json.encode(plan).decode())
         pid = self.sidecar.process.pid
         await driver.said("warm")
-        cpu, before = usage.cpu_s(pid), await self.counts()
+        cpu, stolen, before = usage.cpu_s(pid), usage.Steal(), await self.counts()
         await driver.said("sent")
-        cpu, after = usage.cpu_s(pid) - cpu, await self.counts()
+        cpu, steal, after = usage.cpu_s(pid) - cpu, stolen.share(), await self.counts()
         found = await driver.said("measured")
         await driver.ended()
         return {
-            **found, "cpu_s": cpu, "rss_bytes": usage.rss_bytes(pid),
+            **found, "steal": steal, "cpu_s": cpu, "rss_bytes": usage.rss_bytes(pid),
             "connects": after["taken"] - before["taken"], "open": after["open"],
         }  # fmt: skip
 
@@ -106,8 +107,13 @@
     for name, arm in (("through", through), ("direct", direct)):
         yield f"{name}_requests", "count", arm["sent"]
         yield f"{name}_not_200", "count", arm["sent"] - arm["results"].get("200", 0)
+        yield f"{name}_resent", "count", arm["resent"]
+        for result, count in arm["results"].items():
+            if result != "200":
+                yield f"{name}_got_{result}", "count", count
     yield "cpu_s_per_request", "s", found["cpu_s"] / max(1, through["sent"])
     yield "rss_bytes", "bytes", found["rss_bytes"]
+    yield "steal_share", "share", found["steal"]
     yield "connections_open", "count", found["open"]
     yield "connections_made_per_s", "count/s", found["connects"] / found["seconds"]
 
@@ -149,6 +155,7 @@
     seconds: float = SECONDS,
     warm_s: float = WARM_S,
     rate: float = RATE,
+    first_turn: int = 1,
 ) -> None:
     """Appends the points of each turn, phase and size, in this order, as they are measured."""
     run = usage.run_name()
@@ -167,11 +174,12 @@
         for point in made:
             usage.show(point)
 
-    for turn in range(1, turns + 1):
+    for turn in range(first_turn, first_turn + turns):
         for phase in phases:
             for size in sizes:
                 write(turn, phase, size, {}, ("decision_s", "s", decision_s(phase, size)))
-                plan = Plan(SEED + turn, rate, warm_s, seconds, {})
+                warm = min(WARM_MOST_S, warm_s + WARM_EACH * size / rate)
+                plan = Plan(SEED + turn, rate, warm, seconds, {})
                 found = asyncio.run(play(phase, size, plan))
                 write(turn, phase, size, found, *figures(found))
 
@@ -182,8 +190,11 @@
     parser.add_argument("--sizes", type=int, nargs="+", default=SIZES, help="entries listed")
     parser.add_argument("--turns", type=int, default=TURNS)
     parser.add_argument("--phases", nargs="+", default=PHASES, choices=PHASES)
+    parser.add_argument("--first-turn", type=int, default=1, help="of turns that are run one by one")
     options = parser.parse_args()
-    measure(options.out, options.sizes, options.turns, options.phases)
+    measure(
+        options.out, options.sizes, options.turns, options.phases, first_turn=options.first_turn
+    )  # fmt: skip
 
 
 if __name__ == "__main__":
--- a/benchmarks/scale/openloop.py
+++ b/benchmarks/scale/openloop.py
@@ -53,11 +53,19 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.socket.setblocking(False)
         self.parser = httptools.HttpResponseParser(self)
-        self.whole = False
+        self.whole = self.begun = False
+        self.served = 0
+
+    def on_message_begin(self) -> None:
+        self.begun = True
 
     def on_message_complete(self) -> None:
         self.whole = True
 
+    def send(self, due: float) -> None:
+        self.due, self.begun = due, False
+        self.socket.send(REQUEST % (self.arm.number, self.arm.caller.next_id(), self.arm.name))
+
     def read(self) -> bool:
         """Takes what came; whether the connection goes on."""
         try:
@@ -68,9 +76,12 @@
             data = b""
         if not self.whole:
             if not data and self.due:
-                self.arm.ended(self.due, "lost")
+                due, self.due = self.due, 0.0
+                # A close between requests may cross one, which is then sent once more, by the protocol.
+                self.arm.crossed(due) if self.served and not self.begun else self.arm.ended(due, "lost")
             return bool(data)
         self.whole, due, self.due = False, self.due, 0.0
+        self.served += 1
         self.arm.ended(due, str(self.parser.get_status_code()))
         return bool(self.parser.should_keep_alive())
 
@@ -80,7 +91,7 @@
         self.number, self.ports, self.caller = number, ports, caller
         self.name = name.encode()
         self.idle: list[Connection] = []
-        self.opened = self.sent = self.under_way = 0
+        self.opened = self.sent = self.under_way = self.resent = 0
         self.results = Counter[str]()  # statuses; "lost" with its connection, "unsent" for want of one
         self.times = HdrHistogram(1, MOST_US, 3)
 
@@ -97,14 +108,24 @@
             self.results["unsent"] += counts
             return
         self.under_way += 1
-        one = None
+        if self.idle:
+            one = self.idle.pop()
+            try:
+                one.send(due)
+                return
+            except OSError:
+                one.due = 0.0  # its end is read later
+        self._send_anew(due)
+
+    def crossed(self, due: float) -> None:
+        self.resent += due >= self.caller.from_s
+        self._send_anew(due)
+
+    def _send_anew(self, due: float) -> None:
+        """On a new connection, which serves no other before it."""
         try:
-            one = self.idle.pop() if self.idle else self.open()
-            one.due = due
-            one.socket.send(REQUEST % (self.number, self.caller.next_id(), self.name))
+            self.open().send(due)
         except OSError:
-            if one is not None:
-                one.due = 0.0  # its end is read later, and counts once
             self.ended(due, "lost")
 
     def ended(self, due: float, result: str) -> None:
@@ -187,7 +208,7 @@
     answered = {f"p{q:g}_s": arm.times.get_value_at_percentile(q) / 1e6 for q in QUANTILES}
     return {
         "sent": arm.sent, "results": dict(arm.results), "unanswered": arm.under_way,
-        "opened": arm.opened, **answered,
+        "opened": arm.opened, "resent": arm.resent, **answered,
     }  # fmt: skip
 
 
--- a/benchmarks/scale/retries.py
+++ b/benchmarks/scale/retries.py
@@ -4,9 +4,9 @@
 Two roles: `budget`, one inner tier whose attempts all fail, at several rates (`size` in requests a
 second at each sidecar): attempts for each request; and `retries`, tiers of real modules
 (benchmarks/scale/chain.py) whose last fails all from `CALM_S` on (`size` in tiers): attempts at the
-last tier for each request at the first, in the first second of it (`start`) and later (`steady`), beside the worst that the
-steady share of one tier allows. Phases: `error`, the last tier answers 500 at once; `full`, it
-turns all away; `slow`, it answers 500 after a fifth of a second; `hang`, it never answers.
+last tier for each request at the first, in the first second of it (`start`) and later (`steady`),
+beside the worst that the steady share of one tier allows. Phases: `error`, the last tier answers
+500 at once; `full`, it turns all away; `slow`, it answers 500 after a fifth of a second; `hang`, it never answers.
 """
 
 from __future__ import annotations
--- a/benchmarks/scale/usage.py
+++ b/benchmarks/scale/usage.py
@@ -54,6 +54,20 @@
     say(f"{at}: {point.metric} {point.value:.6g} {point.unit}{void}")
 
 
+class Steal:
+    """The part of the cores' time that the host of a virtual machine gave to others, since the begin."""
+
+    def __init__(self) -> None:
+        self.began = self._now()
+
+    def _now(self) -> list[int]:
+        return [int(one) for one in Path("/proc/stat").read_text().split("\n", 1)[0].split()[1:9]]
+
+    def share(self) -> float:
+        spent = [now - then for now, then in zip(self._now(), self.began, strict=True)]
+        return spent[7] / max(1, sum(spent))
+
+
 class Lag:
     """How late the loop of this process comes: a task that wants to run each `EVERY_S`."""
 
