Name the listings apart from the fleet's names, and refuse chains deeper than any

Sizes of the command are sidecars where none is named: as depths of a chain they would run for hours, so retries.measure refuses them at once, with a remedy.

--- a/benchmarks/scale/exchange.py
+++ b/benchmarks/scale/exchange.py
@@ -22,7 +22,7 @@
 import uvloop
 
 from benchmarks import gossip
-from benchmarks.scale import names, points, usage
+from benchmarks.scale import listings, points, usage
 from benchmarks.scale.points import Point
 from benchmarks.scale.state import LIMIT, OWN
 from tests.lab import Lab
@@ -56,7 +56,7 @@
 
 def exchanged(out: Path, run: str, size: int, turn: int) -> None:
     """Of gossip. There is no driver that could be late: the clock is the stores' own."""
-    named, none = names.names(size), (0.0, 0.0)
+    named, none = listings.names(size), (0.0, 0.0)
     for phase, accusers in (("quiet", 0), ("accusing", max(1, size // ACCUSING))):
         rate = gossip.wire(size, accusers, turn, named)
         write(out, run, "gossip", phase, size, turn, none, bytes_per_sidecar_and_second=rate)
@@ -74,8 +74,8 @@
     def __init__(self, service: str, size: int) -> None:
         self.answered = 0
         self.settings = SharedSettings("127.0.0.1:0", service, limit=LIMIT)
-        self.known = [endpoint_number(name) for name in names.names(size)]
-        self.all = [self._holder(n, name) for n, name in enumerate(names.names(size))]
+        self.known = [endpoint_number(name) for name in listings.names(size)]
+        self.all = [self._holder(n, name) for n, name in enumerate(listings.names(size))]
 
     def _holder(self, at: int, name: str) -> Budget:
         own = [self.known[(at + n) % len(self.known)] for n in range(OWN)]
--- a/benchmarks/scale/growth.py
+++ b/benchmarks/scale/growth.py
@@ -22,7 +22,7 @@
 
 import msgspec
 
-from benchmarks.scale import names, points, state, usage
+from benchmarks.scale import listings, points, state, usage
 from benchmarks.scale.points import Point
 from tests.lab import Lab, Program
 from woadyard.audit.ledger import ROWS_MOST
@@ -78,7 +78,7 @@
 
 
 def log(notes: Notes, registry: Registry) -> None:
-    listed = names.entries(notes.size)
+    listed = listings.entries(notes.size)
     known = [one["instanceId"] for one in listed]
     fleet = [state.spoken(registry, name) for name in known[: max(BATCH, 1)]]
 
@@ -166,7 +166,7 @@
         writer.write(f"GET {PATH}?watch=1&from=0 HTTP/1.1\r\nHost: list.service.local\r\n\r\n".encode())
         whole = len(await reader.readuntil(b"\r\n\r\n")) + len(await reader.readline())
         whole += len(await reader.readline())  # behind the chunk's length
-        drains = [one for one in names.entries(notes.size) if one["zone"] == names.ZONES[0]]
+        drains = [one for one in listings.entries(notes.size) if one["zone"] == listings.ZONES[0]]
         version = notes.size + len(drains)  # each put is one
         began = time.perf_counter()
         watched = asyncio.ensure_future(until(reader, f'"generation":{version},'.encode()))
--- a/benchmarks/scale/latency.py
+++ b/benchmarks/scale/latency.py
@@ -26,7 +26,7 @@
 
 import msgspec
 
-from benchmarks.scale import names, points, usage
+from benchmarks.scale import listings, points, usage
 from benchmarks.scale.openloop import Plan
 from benchmarks.scale.points import Point
 from tests.lab import Lab, Program, call
@@ -46,7 +46,7 @@
 
 def settings(phase: str, size: int) -> dict[str, Any]:
     """The file's settings, in the zones of the size that is designed for."""
-    told = {**SETTINGS, "zones": list(names.ZONES), "kinds": ["c7g-2xlarge"]}
+    told = {**SETTINGS, "zones": list(listings.ZONES), "kinds": ["c7g-2xlarge"]}
     if phase == "entry":
         return {**told, "stage": 0}
     return {**told, "instances": size, "me": size // 2} if phase == "arcs" else told
@@ -67,7 +67,7 @@
         for one in self.origins:
             one.port = (await one.said("listening"))["port"]
         service = await self.lab.service()
-        listed = names.entries(size, [one.port for one in self.origins])
+        listed = listings.entries(size, [one.port for one in self.origins])
         for at in range(0, size, REGISTER_AT_ONCE):
             some = listed[at : at + REGISTER_AT_ONCE]
             each = (self.lab.register(service, one["instanceId"], one, LEASE_MS) for one in some)
@@ -192,9 +192,8 @@
     parser.add_argument("--phases", nargs="+", default=PHASES, choices=PHASES)
     parser.add_argument("--first-turn", type=int, default=1, help="of turns that are run one by one")
     options = parser.parse_args()
-    measure(
-        options.out, options.sizes, options.turns, options.phases, first_turn=options.first_turn
-    )  # fmt: skip
+    first = options.first_turn
+    measure(options.out, options.sizes, options.turns, options.phases, first_turn=first)
 
 
 if __name__ == "__main__":
--- a/benchmarks/scale/retries.py
+++ b/benchmarks/scale/retries.py
@@ -22,10 +22,12 @@
 from benchmarks.scale import points, usage
 from benchmarks.scale.chain import SECOND, Chain, Counts, Fate, TooManyError
 from benchmarks.scale.points import Point
+from woadyard.errors import ConfigError
 from woadyard.interface import ERROR, FULL, OK, SAFE, RequestClass, Settings
 
 OUT = Path("docs/capacity/retries.jsonl")
 SIZES, TURNS = (1, 2, 4, 8, 13, 26), 1
+TIERS_MOST = 64
 RATES = (1.0, 10.0, 100.0, 310.0)
 # As the deployments here have it: three attempts, a class that may be repeated.
 DEADLINE_US, ATTEMPTS = 2 * SECOND, 3
@@ -129,7 +131,10 @@
     rates: Sequence[float] = RATES,
     phases: Sequence[str] = CHAIN_PHASES,
 ) -> None:
-    """Appends the points of `budget`, then those of each phase and depth. Turns differ by the seed."""
+    """Appends the points of `budget`, then those of each phase and depth. Turns differ by the seed.
+    ConfigError where a depth is more than any chain of calls has."""
+    if max(sizes) > TIERS_MOST:
+        raise ConfigError(f"no chain has {max(sizes)} tiers", f"name depths up to {TIERS_MOST} by --sizes")
     run = usage.run_name()
     for turn in range(1, turns + 1):
         worst = budget(out, run, rates, turn)
--- a/benchmarks/scale/state.py
+++ b/benchmarks/scale/state.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from benchmarks.scale import names
+from benchmarks.scale import listings
 from woadyard.audit import Position, Spans
 from woadyard.audit.ledger import REPORTS, ROWS_MOST, RUN_ROWS_LEAST, AuditBook
 from woadyard.audit.messages import Report, Row
@@ -78,7 +78,7 @@
     registry = Registry(Journal(folder))
     with unsynced():
         registry.lead()
-        listed = names.entries(size)
+        listed = listings.entries(size)
         for entry in listed:
             registry.commit({"op": PUT, "entry": entry, "ttl_us": TTL_US})
         if shape == "whole":
@@ -96,7 +96,7 @@
 def lengthen(registry: Registry, size: int) -> int:
     """Renewals until the log is about to be replaced by a snapshot: the longest a start has to read.
     Its bytes."""
-    known, journal, at = names.names(size), registry.journal, 0
+    known, journal, at = listings.names(size), registry.journal, 0
     with unsynced():
         while journal.size < 0.98 * max(LOG_BYTES, journal.snapshot_size):
             registry.commit({"op": RENEW, "id": known[at % size]})
--- a/tests/test_scale_path.py
+++ b/tests/test_scale_path.py
@@ -15,10 +15,11 @@
 import msgspec
 import pytest
 
-from benchmarks.scale import exchange, growth, latency, names, points, retries
+from benchmarks.scale import exchange, growth, latency, listings, points, retries
 from benchmarks.scale.chain import Chain, TooManyError
 from benchmarks.scale.points import Point
 from tests.lab import _end_with_parent
+from woadyard.errors import ConfigError
 from woadyard.policy.balancer import RETRY_CAP, RETRY_EARN
 
 SECOND = 1_000_000
@@ -93,6 +94,12 @@
         chain.run(20.0, 8.0, retries.DEADLINE_US, 1)
 
 
+def test_a_chain_deeper_than_any_is_refused_before_it_is_run(tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match="1100 tiers"):
+        retries.measure(tmp_path / "retries.jsonl", [100, 1_100], 1)
+    assert not list(tmp_path.iterdir())
+
+
 def test_the_retry_budgets_points_have_each_rate_and_depth(tmp_path: Path) -> None:
     out = tmp_path / "retries.jsonl"
     retries.measure(out, [1, 3], 1, rates=[10.0], phases=["error"])
@@ -115,7 +122,7 @@
     for shape in ("lists", "whole"):
         back = found(out, "recovery", shape, size)
         assert back["replica_reached_share"] == 1.0 and back["own_log_s"] > 0.0
-    listed = sum(len(msgspec.json.encode(one)) for one in names.entries(size))
+    listed = sum(len(msgspec.json.encode(one)) for one in listings.entries(size))
     assert found(out, "told", "whole", size)["bytes_per_sidecar"] > listed
     assert found(out, "told", "zone", size)["bytes_per_sidecar"] > listed / 10
 
@@ -133,12 +140,12 @@
 
 
 def test_names_and_entries_are_distinct_and_as_long_as_real_ones() -> None:
-    known = names.names(1_100)
+    known = listings.names(1_100)
     assert len(set(known)) == 1_100 and {len(one) for one in known} == {len("s-5be2a07c")}
-    listed = names.entries(1_100)
+    listed = listings.entries(1_100)
     assert len({one["hostPort"] for one in listed}) == 1_100
-    assert Counter(one["zone"] for one in listed) == dict.fromkeys(names.ZONES, 110)
-    assert len(set(names.REGIONS.values())) == 3
+    assert Counter(one["zone"] for one in listed) == dict.fromkeys(listings.ZONES, 110)
+    assert len(set(listings.REGIONS.values())) == 3
 
 
 def test_a_point_of_a_late_driver_is_void_and_shown_as_such(capsys: pytest.CaptureFixture[str]) -> None:
