--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -14,7 +14,7 @@
 SIZES = (100, 200, 400, 700, 1100)
 FOLDER = Path("docs/capacity")
 # Each a module of this package with `measure(out, sizes, turns)`.
-PARTS = ("control", "latency", "retries", "growth", "exchange")
+PARTS = ("control", "latency", "retries", "growth", "exchange", "failover")
 # What is measured of the part `control` where its phases are named.
 PHASES = ("leases", "quiet", "change", "begin", "zone", "writer", "restart", "regions")
 
