Play each part of the scale run at its own sizes where none are named

Cause: `run` without words gave the sizes of fleets to parts that count by entries, tiers or watchers: retries refuses 1,100 tiers, so the one command for all parts ended there. Change: a part's own sizes, turns and file, unless some are named. Measured: the new test fails without the change (1,100 tiers); the command was not run as a whole.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -40,9 +40,17 @@
         "parts", nargs="*", metavar="PART", choices=[*PARTS, *PHASES, []],
         help=f"of {', '.join(PARTS)}; phases of control: {', '.join(PHASES)}. Where none is named, all",
     )  # fmt: skip
-    run.add_argument("--sizes", type=numbers, default=list(SIZES), metavar="N,...", help="sidecars")
+    run.add_argument(
+        "--sizes", type=numbers, metavar="N,...",
+        help="sidecars, or what the part counts by; each part's own where none is named",
+    )  # fmt: skip
     run.add_argument("--out", type=Path, metavar="FILE", help="docs/capacity/PART.jsonl where none is named")
-    run.add_argument("--turns", type=int, default=1, metavar="N", help="how often each size is played")
+    run.add_argument(
+        "--turns",
+        type=int,
+        metavar="N",
+        help="how often each size is played; the part's own where none is named",
+    )
     for name, told in (("fit", "lines through the points"), ("page", "docs/CAPACITY.md from the points")):
         one = commands.add_parser(name, help=told)
         if name == command:
@@ -56,10 +64,13 @@
     if phases and "control" not in parts:
         parts.insert(0, "control")
     for part in parts or PARTS:
-        out = arguments.out or FOLDER / f"{part}.jsonl"
-        work: Callable[..., None] = module(part).measure
+        found = module(part)
+        out = arguments.out or getattr(found, "OUT", FOLDER / f"{part}.jsonl")
+        sizes = arguments.sizes or list(getattr(found, "SIZES", SIZES))
+        turns = arguments.turns or getattr(found, "TURNS", 1)
+        work: Callable[..., None] = found.measure
         chosen = (phases,) if phases and part == "control" else ()
-        work(out, arguments.sizes, arguments.turns, *chosen)
+        work(out, sizes, turns, *chosen)
     return 0
 
 
--- a/benchmarks/scale/failover.py
+++ b/benchmarks/scale/failover.py
@@ -38,6 +38,7 @@
 MEMBERS, KILLS = 3, 10
 LOOK_S, LAG_S, KILL_MOST_S = 0.01, 0.01, 60.0
 LEASE_MS = 4_000
+SIZES = (100,)  # watchers
 
 
 @dataclass
--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -128,6 +128,18 @@
     ]
 
 
+def test_a_part_that_counts_by_something_else_has_sizes_of_its_own(monkeypatch: pytest.MonkeyPatch) -> None:
+    called: list[tuple[object, ...]] = []
+    for part in command.PARTS:
+        monkeypatch.setattr(command.module(part), "measure", lambda *told: called.append(told))
+    assert command.main(["run"]) == 0
+    assert len(called) == len(command.PARTS)
+    sizes = {str(out): list(sizes) for out, sizes, _ in called}  # type: ignore[call-overload]
+    assert sizes["docs/capacity/control.jsonl"] == [100, 200, 400, 700, 1100]
+    assert sizes["docs/capacity/path.jsonl"] == [9, 60, 1100]
+    assert max(sizes["docs/capacity/retries.jsonl"]) == 26
+
+
 def test_entries_are_as_the_product_takes_them() -> None:
     assert len({entry(n)["instanceId"] for n in range(1100)}) == 1100
     assert sorted({zone(n) for n in range(1100)}) == sorted(ZONES) and len(ZONES) == 10
