--- a/woadyard/policy/balancer.py
+++ b/woadyard/policy/balancer.py
@@ -44,6 +44,7 @@
 
     def start(self, now: int, alone: bool = True) -> list[Action]:
         self.ctx.sends.began = self.ctx.served.began = now
+        self.ctx.stale = max(1, now - self.s.ask_within_us) if self.s.asks_discovery else 0
         self.membership.ask(START_PART if alone else TAKE_OVER_PART)
         return self._taken(now)
 
--- a/woadyard/policy/health.py
+++ b/woadyard/policy/health.py
@@ -11,7 +11,6 @@
 # What one failure leaves of an endpoint's health; fullness tells of load more than of a fault.
 BLAME = {ERROR: 0.4, FULL: 0.7, TIMEOUT: 0.2, NO_CONNECT: 0.15, RESET: 0.2}
 BLAME_OTHERS = 0.5  # power of what the other classes and tenants take for a failure of one
-LEFT_FOR = 4  # with a stale list: times that it may go unasked for which what turns away is left alone
 CROWDED_FOR = 1.0  # usual latencies for which a full one is left alone: all next tries would keep it full
 # One answer repairs this share of the damage; time repairs it with a memory of so many aims, and sends at the
 # least (or copies that send little try a bad one too often), doubled by each failure in a row up to the cap.
@@ -97,11 +96,6 @@
             self.ctx.accuse(endpoint, EJECTED)
         if outcome == FULL:
             endpoint.crowded = now + int(CROWDED_FOR * self.ctx.latency.mean)
-        # Guards drains that discovery could not tell of, as long as half of the endpoints are left.
-        order, span = self.ring.order, self.ctx.s.ask_within_us
-        few = self.ctx.stale and 2 * sum(one.crowded > now + span for _, one in order) < len(order)
-        if few and outcome in (FULL, NO_CONNECT):
-            endpoint.crowded = now + LEFT_FOR * span
 
     def praise(self, now: int, endpoint: Endpoint, request: Request, delay_us: int) -> None:
         """An answer: repair the health of its sort, learn the endpoint's speed from it."""
@@ -111,6 +105,7 @@
             health += REPAIR * (1.0 - health)
             endpoint.health[sort] = 1.0 if health > 0.99 else health, now, endpoint.health[sort][2] / 2.0
         self.ctx.served.add(now)
+        endpoint.proven = max(endpoint.proven, now - delay_us)
         usual = self.ctx.latencies[request.kind]
         usual.add(delay_us)
         self.ctx.latency.add(delay_us)
--- a/woadyard/policy/membership.py
+++ b/woadyard/policy/membership.py
@@ -34,7 +34,8 @@
     def listed(self, now: int, mode: int, entries: Sequence[Entry]) -> None:
         if mode == LIST_FAILED:
             # Guards drains, told or not while nobody listens; failures in a row spread copies.
-            self.ctx.stale, took = True, (now - self.asked) / self.ctx.s.ask_within_us
+            took = (now - self.asked) / self.ctx.s.ask_within_us
+            self.ctx.stale = self.ctx.stale or max(1, now - self.ctx.s.ask_within_us)  # silent before
             if took > SLOW and self.unheard + self.slow:  # and no watch that had told a list
                 self.unheard, self.slow = 0, self.slow + 1
                 most = min(SLOW_MOST, max(ASK_AGAIN, SLOW_WITHIN - took), ASK_AGAIN * 2.0**self.slow)
@@ -43,11 +44,9 @@
                 self.ask(min(ASK_MOST, ASK_AGAIN * 2.0**self.unheard))
                 self.unheard += 1
             return
-        heard, changed = mode != LIST_CACHED, False  # a list from before the start is no word of discovery
-        for one in self.ring.ready() if heard and self.ctx.stale else ():
-            one.crowded = 0  # what the list says of it holds again
-        if heard:
-            self.unheard, self.slow, self.ctx.stale = 0, 0, False
+        changed = False
+        if mode != LIST_CACHED:  # a list from before the start is no word of discovery
+            self.unheard, self.slow, self.ctx.stale = 0, 0, 0
         if mode != LIST_DELTA:
             named = {entry.endpoint for entry in entries}
             self.banned |= dict.fromkeys(self.banned.keys() - named)
--- a/woadyard/policy/order.py
+++ b/woadyard/policy/order.py
@@ -45,8 +45,7 @@
         """One attempt ended; one that may still run has its key rest."""
         if request.key and (turn := self.turns.get(request.key)):
             turn.out -= 1
-            if outcome in (TIMEOUT, RESET, CANCELLED):
-                turn.rest = now + self.ctx.s.key_rest_us
+            turn.rest = now + self.ctx.s.key_rest_us if outcome in (TIMEOUT, RESET, CANCELLED) else turn.rest
 
     def leave(self, request: Request) -> None:
         """The request is over, and so may be its turn."""
--- a/woadyard/policy/state.py
+++ b/woadyard/policy/state.py
@@ -22,7 +22,7 @@
         self.inflight = self.quiet_since = self.arm = 0
         self.moving = 0  # of those in flight, bodies and answers on their way: no answer is owed yet
         self.crowded = 0  # it was full: nothing is sent before this
-        self.budget, self.budget_at = 0.0, 0
+        self.budget, self.budget_at, self.proven = 0.0, 0, 0  # proven: when its latest answer was asked for
         self.cap = MAX_HELD  # attempts out from here at most
         self.trust = 1.0  # what others' verdicts leave of its weight
         self.accused: str | None = None  # the verdict that the others were told
@@ -83,8 +83,7 @@
         self.at = now
 
     def get(self, now: int) -> float:
-        # 0.02: a shorter look can't tell a rate from chance.
-        seen = max(0.02, 1.0 - exp((self.began - now) / self.memory))
+        seen = max(0.02, 1.0 - exp((self.began - now) / self.memory))  # less tells no rate from chance
         return self.sum * exp((self.at - now) / self.memory) / (self.memory * seen)
 
 
@@ -94,7 +93,7 @@
         self.out: list[Action] = []
         self.latencies: list[Latency] = []  # by class
         self.latency = Latency()
-        self.stale = settings.asks_discovery  # the list: nothing heard of discovery since a start or loss
+        self.stale = 0  # since when the list may be: discovery lost, or not heard yet; 0 while it is told
         self.zones: Zones | None = None
         self.split: Split | None = None  # the experiment in force
         self.derive(settings)
