--- /dev/null
+++ b/benchmarks/scale/formulas.py
@@ -0,0 +1,236 @@
+"""The formulas behind the figures of docs/CAPACITY.md: arithmetic over measured points, and no more.
+
+Numbers, the names of `size.toml` and of earlier figures, `+ - * / **`, one comparison (which gives `holds`
+or `broken`) and these functions; R, P and M are role, phase and metric in quotes:
+
+    slope(R, P, M)           of the line, per unit of size; `no line` where the curve is none
+    base(R, P, M)            the line's value at size 0
+    at(R, P, M, size)        the line's value; where it is none, between the means beside it
+    measured(R, P, M, size)  the mean of the points at that very size
+    worst(R, P, M[, size])   the greatest point, of all or at that size
+    knee(R, P, M)            the size at which the curve bends; `none` where it does not
+    turns(R, P, M)           how often the size that was run least often was
+    breaks(R, P, M, budget)  the smallest size whose figure is over the budget, between sizes on the
+                             straight; past the last size `none` (not seen to break)
+    code(FILE, NAME)         a constant of the program, as its file says it
+    min max ceil floor
+
+Each of the first eight takes `since="..."` and `until="..."`, the first and last run that count. A figure
+that can't be had is a word: `not measured`, `void` (all its points are), `no line`, `none`.
+"""
+
+from __future__ import annotations
+
+import ast
+import math
+import operator
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from benchmarks.scale.fit import Fit, Series, fit
+from benchmarks.scale.points import Point
+from woadyard.errors import WoadyardError
+
+LONGEST, POWER_MOST = 600, 128  # characters of a formula; an exponent
+NOT_MEASURED, VOID, NO_LINE, NONE = "not measured", "void", "no line", "none"
+HOLDS, BROKEN = "holds", "broken"
+WORDS = (NOT_MEASURED, VOID, NO_LINE, NONE, HOLDS, BROKEN)
+ROOT = Path(__file__).parents[2]
+
+_DO: dict[type, Callable[[Any, Any], Any]] = {
+    ast.Add: operator.add, ast.Sub: operator.sub, ast.Mult: operator.mul, ast.Div: operator.truediv,
+    ast.Lt: operator.lt, ast.LtE: operator.le, ast.Gt: operator.gt, ast.GtE: operator.ge,
+}  # fmt: skip
+
+
+class FormulaError(WoadyardError):
+    """It is no formula, or names what there is not."""
+
+    remedy = "see benchmarks/scale/formulas.py for what a formula may hold"
+
+
+class UnknownError(Exception):
+    """There is no such figure; the message is the word for why."""
+
+
+@dataclass
+class Formulas:
+    """Evaluates formulas over points and figures; `names` grows with the page's own named figures."""
+
+    points: Mapping[Series, list[Point]]
+    names: dict[str, float | str]
+    root: Path = ROOT
+    fits: dict[tuple[Any, ...], Fit] = field(default_factory=dict)
+
+    def value(self, formula: str) -> float | str:
+        """The figure, or the word for why there is none. FormulaError where it is no formula."""
+        if len(formula) > LONGEST:
+            raise FormulaError(f"the formula is over {LONGEST} characters")
+        try:
+            found = self._of(ast.parse(formula.strip(), mode="eval").body)
+        except (SyntaxError, ValueError, RecursionError) as error:
+            raise FormulaError(f"no formula: {error}") from None
+        except (ZeroDivisionError, OverflowError, TypeError) as error:
+            raise FormulaError(f"{formula}: {error}") from None
+        except UnknownError as word:
+            return str(word)
+        if isinstance(found, bool):
+            return HOLDS if found else BROKEN
+        if not isinstance(found, (int, float)) or not math.isfinite(found):
+            raise FormulaError(f"{formula}: no number")
+        return float(found)
+
+    def _of(self, node: ast.AST) -> Any:
+        match node:
+            case ast.Constant(value=bool()):
+                pass
+            case ast.Constant(value=int() | float() | str() as value):
+                return value
+            case ast.Name(id=name):
+                return self._named(name)
+            case ast.UnaryOp(op=ast.USub(), operand=operand):
+                return -self._number(operand)
+            case ast.BinOp(left=left, op=ast.Pow(), right=right):
+                power = self._number(right)
+                if abs(power) > POWER_MOST:
+                    raise FormulaError(f"an exponent over {POWER_MOST}")
+                return float(self._number(left)) ** power
+            case ast.BinOp(left=left, op=op, right=right) if type(op) in _DO:
+                return _DO[type(op)](self._number(left), self._number(right))
+            case ast.Compare(left=left, ops=[op], comparators=[right]) if type(op) in _DO:
+                return bool(_DO[type(op)](self._number(left), self._number(right)))
+            case ast.Call(func=ast.Name(id=name), args=args, keywords=keywords) if name in _FUNCTIONS:
+                told = {one.arg: self._of(one.value) for one in keywords if one.arg}
+                if len(told) < len(keywords):
+                    raise FormulaError("a formula has no `**`")
+                return _FUNCTIONS[name](self, *(self._of(one) for one in args), **told)
+        raise FormulaError(f"a formula has no {ast.unparse(node)!r}")
+
+    def _number(self, node: ast.AST) -> float:
+        match self._of(node):
+            case bool():
+                pass
+            case int() | float() as found:
+                return found
+        raise FormulaError(f"no number: {ast.unparse(node)}")
+
+    def _named(self, name: str) -> float:
+        if name not in self.names:
+            raise FormulaError(f"nothing is named {name!r}")
+        found = self.names[name]
+        if isinstance(found, str):
+            raise UnknownError(found)
+        return found
+
+    # --- Functions ------------------------------------------------------------------------
+
+    def some(self, role: str, phase: str, metric: str, since: str = "", until: str = "~") -> list[Point]:
+        """The series' points of these runs that count."""
+        told = [one for one in self.points.get((role, phase, metric), []) if since <= one.run <= until]
+        good = [one for one in told if not one.void]
+        if not good:
+            raise UnknownError(VOID if told else NOT_MEASURED)
+        return good
+
+    def fit(self, *series: str, **runs: str) -> Fit:
+        key = (*series, *sorted(runs.items()))
+        if key not in self.fits:
+            found = fit(self.some(*series, **runs))
+            if found is None:
+                raise UnknownError(NOT_MEASURED)
+            self.fits[key] = found
+        return self.fits[key]
+
+    def line(self, *series: str, **runs: str) -> Fit:
+        found = self.fit(*series, **runs)
+        if not found.is_line:
+            raise UnknownError(NO_LINE)
+        return found
+
+    def slope(self, role: str, phase: str, metric: str, **runs: str) -> float:
+        return self.line(role, phase, metric, **runs).slope
+
+    def base(self, role: str, phase: str, metric: str, **runs: str) -> float:
+        return self.line(role, phase, metric, **runs).base
+
+    def at(self, role: str, phase: str, metric: str, size: float, **runs: str) -> float:
+        return self.fit(role, phase, metric, **runs).at(size)
+
+    def measured(self, role: str, phase: str, metric: str, size: float, **runs: str) -> float:
+        return sum(found := self._sized(role, phase, metric, size, runs)) / len(found)
+
+    def worst(self, role: str, phase: str, metric: str, size: float | None = None, **runs: str) -> float:
+        if size is None:
+            return max(one.value for one in self.some(role, phase, metric, **runs))
+        return max(self._sized(role, phase, metric, size, runs))
+
+    def _sized(self, role: str, phase: str, metric: str, size: float, runs: dict[str, str]) -> list[float]:
+        told = [one for one in self.points.get((role, phase, metric), []) if one.size == size]
+        only = Formulas({(role, phase, metric): told}, {})
+        return [one.value for one in only.some(role, phase, metric, **runs)]
+
+    def knee(self, role: str, phase: str, metric: str, **runs: str) -> float:
+        found = self.fit(role, phase, metric, **runs).knee
+        if found is None:
+            raise UnknownError(NONE)
+        return found
+
+    def turns(self, role: str, phase: str, metric: str, **runs: str) -> float:
+        by_size: dict[float, int] = {}
+        for one in self.some(role, phase, metric, **runs):
+            by_size[one.size] = by_size.get(one.size, 0) + 1
+        return min(by_size.values())
+
+    def breaks(self, role: str, phase: str, metric: str, budget: float, **runs: str) -> float:
+        by_size: dict[float, list[float]] = {}
+        for one in self.some(role, phase, metric, **runs):
+            by_size.setdefault(one.size, []).append(one.value)
+        before: tuple[float, float] | None = None
+        for size, values in sorted(by_size.items()):
+            mean = sum(values) / len(values)
+            if mean > budget:
+                if before is None:
+                    return size
+                return before[0] + (size - before[0]) * (budget - before[1]) / (mean - before[1])
+            before = size, mean
+        raise UnknownError(NONE)
+
+    def code(self, file: str, name: str) -> float:
+        """A number that the file's top level gives the name."""
+        path = (self.root / file).resolve()
+        if not path.is_relative_to(self.root.resolve()) or path.suffix != ".py" or not path.is_file():
+            raise FormulaError(f"no file of the program: {file}")
+        for node in ast.parse(path.read_text()).body:
+            for target, value in _assigned(node):
+                if target == name:
+                    return Formulas({}, {})._number(value)
+        raise FormulaError(f"{file} has no constant {name}")
+
+
+def _assigned(node: ast.stmt) -> list[tuple[str, ast.expr]]:
+    """Names and values of `A = 1` and of `A, B = 1, 2`."""
+    if not isinstance(node, ast.Assign) or len(node.targets) != 1:
+        return []
+    target, value = node.targets[0], node.value
+    pairs = [(target, value)]
+    if isinstance(target, ast.Tuple) and isinstance(value, ast.Tuple):
+        pairs = list(zip(target.elts, value.elts, strict=True))
+    return [(one.id, given) for one, given in pairs if isinstance(one, ast.Name)]
+
+
+def _least(_: Formulas, *values: float) -> float:
+    return min(values)
+
+
+def _most(_: Formulas, *values: float) -> float:
+    return max(values)
+
+
+_FUNCTIONS: dict[str, Callable[..., Any]] = {
+    "slope": Formulas.slope, "base": Formulas.base, "at": Formulas.at, "measured": Formulas.measured,
+    "worst": Formulas.worst, "knee": Formulas.knee, "turns": Formulas.turns, "breaks": Formulas.breaks,
+    "code": Formulas.code, "min": _least, "max": _most,
+    "ceil": lambda _, value: math.ceil(value), "floor": lambda _, value: math.floor(value),
+}  # fmt: skip
