--- a/benchmarks/scale/size.py
+++ b/benchmarks/scale/size.py
@@ -53,6 +53,15 @@
     region_split_s: Above
 
 
+class Goal(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The issue's, of the control plane."""
+
+    writer_core: Share
+    relay_core: Share
+    report_p99_s: Above
+    change_p99_s: Above
+
+
 class Assumed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Not the letter's: whatever is reckoned from these is marked so on the page."""
 
@@ -68,11 +77,12 @@
     fleet: Fleet
     budget: Budget
     day: Day
+    goal: Goal
     assumed: Assumed
 
     def figures(self) -> dict[str, float]:
         """All figures by name; no two parts have a name in common."""
-        parts = (self.fleet, self.budget, self.day, self.assumed)
+        parts = (self.fleet, self.budget, self.day, self.goal, self.assumed)
         return {name: float(value) for part in parts for name, value in msgspec.structs.asdict(part).items()}
 
 
