--- a/benchmarks/scale/formulas.py
+++ b/benchmarks/scale/formulas.py
@@ -10,13 +10,15 @@
     worst(R, P, M[, size])   the greatest point, of all or at that size
     knee(R, P, M)            the size at which the curve bends; `none` where it does not
     turns(R, P, M)           how often the size that was run least often was
+    load(R, P, M)            the machine's load over a minute, the greatest as the points were taken
+    voids(R, P, M)           how many of the series' points are void
     breaks(R, P, M, budget)  the smallest size whose figure is over the budget, between sizes on the
                              straight; past the last size `none` (not seen to break)
     falls(R, P, M, goal)     the same for a figure that must not be under its goal
     code(FILE, NAME)         a constant of the program, as its file says it
     min max ceil floor
 
-Each of the first nine takes `since="..."` and `until="..."`, the first and last run that count. A figure
+Each of the first eleven takes `since="..."` and `until="..."`, the first and last run that count. A figure
 that can't be had is a word: `not measured`, `void` (all its points are), `no line`, `none`.
 """
 
@@ -129,12 +131,17 @@
 
     def some(self, role: str, phase: str, metric: str, since: str = "", until: str = "~") -> list[Point]:
         """The series' points of these runs that count."""
-        told = [one for one in self.points.get((role, phase, metric), []) if since <= one.run <= until]
-        good = [one for one in told if not one.void]
+        good = [one for one in self._told(role, phase, metric, since, until) if not one.void]
         if not good:
-            raise UnknownError(VOID if told else NOT_MEASURED)
+            raise UnknownError(VOID)
         return good
 
+    def _told(self, role: str, phase: str, metric: str, since: str = "", until: str = "~") -> list[Point]:
+        told = [one for one in self.points.get((role, phase, metric), []) if since <= one.run <= until]
+        if not told:
+            raise UnknownError(NOT_MEASURED)
+        return told
+
     def fit(self, *series: str, **runs: str) -> Fit:
         key = (*series, *sorted(runs.items()))
         if key not in self.fits:
@@ -184,6 +191,13 @@
             by_size[one.size] = by_size.get(one.size, 0) + 1
         return min(by_size.values())
 
+    def load(self, role: str, phase: str, metric: str, **runs: str) -> float:
+        return max(one.load for one in self.some(role, phase, metric, **runs))
+
+    def voids(self, role: str, phase: str, metric: str, **runs: str) -> float:
+        told = self._told(role, phase, metric, **runs)
+        return sum(one.void for one in told)
+
     def breaks(self, role: str, phase: str, metric: str, budget: float, **runs: str) -> float:
         return self._over(role, phase, metric, budget, 1.0, runs)
 
@@ -240,6 +254,6 @@
 _FUNCTIONS: dict[str, Callable[..., Any]] = {
     "slope": Formulas.slope, "base": Formulas.base, "at": Formulas.at, "measured": Formulas.measured,
     "worst": Formulas.worst, "knee": Formulas.knee, "turns": Formulas.turns, "breaks": Formulas.breaks,
-    "falls": Formulas.falls, "code": Formulas.code, "min": _least, "max": _most,
-    "ceil": lambda _, value: math.ceil(value), "floor": lambda _, value: math.floor(value),
+    "falls": Formulas.falls, "load": Formulas.load, "voids": Formulas.voids, "code": Formulas.code,
+    "min": _least, "max": _most, "ceil": lambda _, value: math.ceil(value), "floor": lambda _, value: math.floor(value),
 }  # fmt: skip
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -200,6 +200,9 @@
         ('measured("writer", "quiet", "cpu_s_per_s", 401)', "not measured"),
         ('worst("writer", "quiet", "cpu_s_per_s")', 1.6),
         ('turns("writer", "quiet", "cpu_s_per_s")', 1.0),
+        ('load("writer", "quiet", "cpu_s_per_s")', 0.0),
+        ('voids("writer", "quiet", "cpu_s_per_s")', 0.0),
+        ('voids("writer", "quiet", "cpu_s")', "not measured"),
         ('breaks("writer", "quiet", "cpu_s_per_s", 0.75)', 250.0),
         ('breaks("writer", "quiet", "cpu_s_per_s", 0.1)', 100.0),
         ('breaks("writer", "quiet", "cpu_s_per_s", 2)', "none"),
@@ -288,6 +291,7 @@
     told = formulas(*void)
     assert told.value('worst("writer", "quiet", "cpu_s_per_s")') == "void"
     assert told.value('slope("writer", "quiet", "cpu_s_per_s")') == "void"
+    assert told.value('voids("writer", "quiet", "cpu_s_per_s")') == 2.0
 
 
 def test_units_that_differ_are_refused() -> None:
