--- a/benchmarks/scale/formulas.py
+++ b/benchmarks/scale/formulas.py
@@ -255,5 +255,6 @@
     "slope": Formulas.slope, "base": Formulas.base, "at": Formulas.at, "measured": Formulas.measured,
     "worst": Formulas.worst, "knee": Formulas.knee, "turns": Formulas.turns, "breaks": Formulas.breaks,
     "falls": Formulas.falls, "load": Formulas.load, "voids": Formulas.voids, "code": Formulas.code,
-    "min": _least, "max": _most, "ceil": lambda _, value: math.ceil(value), "floor": lambda _, value: math.floor(value),
+    "min": _least, "max": _most,
+    "ceil": lambda _, value: math.ceil(value), "floor": lambda _, value: math.floor(value),
 }  # fmt: skip
