--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -9,7 +9,7 @@
 `?` stands for a figure that is yet to be filled in. In a table each other number needs a mark behind it in
 its cell: `<!-- given -->` for the letter's and the program's own; `<!-- reckoned -->` and `<!-- probe -->`
 where the cell, or the head above it, shows the reader that word too. In a table behind `<!-- ranked -->` the
-first column's figures rise. Files named in code marks are there.
+first column's figures rise; writing sorts its rows. Files named in code marks are there.
 """
 
 from __future__ import annotations
@@ -27,6 +27,7 @@
 from woadyard.errors import WoadyardError
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
+RANKED = "<!-- ranked -->"
 DIGITS = 3  # of a figure without a form of its own
 COMMENT = re.compile(r"<!--(.*?)-->", re.DOTALL)
 FIGURE = re.compile(
@@ -62,7 +63,7 @@
     def __init__(self, text: str, formulas: Formulas) -> None:
         self.text, self.formulas = text, formulas
         self.faults: list[Fault] = []
-        self.true = FIGURE.sub(self._figure, text)
+        self.true = _ranked(FIGURE.sub(self._figure, text))
         for found in COMMENT.finditer(text):
             if "<!--" in found[1]:
                 self._fault(found.start(), "a comment within a comment")
@@ -113,7 +114,7 @@
                         last = size
             else:
                 if line.strip():
-                    ranked, last = "<!-- ranked -->" in line, 0.0
+                    ranked, last = RANKED in line, 0.0
                 rows = 0
             at += len(line)
 
@@ -143,6 +144,28 @@
     return [re.sub(r"\0(\d+)\0", lambda one: held[int(one[1])], part) for part in parts]
 
 
+def _ranked(text: str) -> str:
+    """With the rows of ranked tables by their first figure; those without one last, as they were."""
+    done: list[str] = []
+    rows: list[str] = []
+    ranked = False
+    for line in [*text.splitlines(keepends=True), ""]:
+        if line.lstrip().startswith("|"):
+            rows.append(line)
+            continue
+        body = sorted(rows[2:], key=_rank) if ranked else rows[2:]
+        done += [*rows[:2], *body, line]
+        rows = []
+        if line.strip():
+            ranked = RANKED in line
+    return "".join(done)
+
+
+def _rank(row: str) -> tuple[bool, float]:
+    size = _first(_cells(row)[0])
+    return size is None, size or 0.0
+
+
 def _first(cell: str) -> float | None:
     found = NUMBER.search(COMMENT.sub("", cell))
     return float(found[0].replace(",", "")) if found else None
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -112,10 +112,12 @@
 def test_ranked_table_rises() -> None:
     head = "\n| size | what |\n| --- | --- |\n"
     rows = "| 20<!-- given --> | a |\n| 1<!-- given --> | b |\n| not measured | c |\n"
-    assert page(head + rows).faults == []
-    assert ["1 stands behind 20" in str(one) for one in page("<!-- ranked -->\n" + head + rows).faults] == [
-        True
-    ]
+    told = page("<!-- ranked -->\n" + head + rows)
+    assert page(head + rows).faults == [] and page(head + rows).true == head + rows
+    assert ["1 stands behind 20" in str(one) for one in told.faults] == [True]
+    a, b, c = rows.splitlines(keepends=True)
+    assert told.true == "<!-- ranked -->\n" + head + b + a + c
+    assert page(told.true).faults == []
 
 
 # --- Files ----------------------------------------------------------------------------------------
