Measure a zone that does not come back whole, where the play used to end

At 1,100 sidecars 36 endpoints of the drained zone were not listed again within 20 s, and the play ended without a point. Endpoints that are missing are figures (leases, missing), so the phase goes on; the list's version is asked for more than once, as an overloaded writer may not answer in 5 s. A process of hollow sidecars ends at once: its calls that were broken off filled the progress with tracebacks. Not yet run at that size.

--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -232,9 +232,10 @@
     while line := await orders.readline():
         order: Order = msgspec.json.decode(line, type=Order)
         if order.do == talk.END:
-            return
+            break
         sys.stdout.buffer.write(msgspec.json.encode(await fleet.obey(order)) + b"\n")
         sys.stdout.buffer.flush()
+    os._exit(0)  # it keeps no state; to break off calls by the hundred says much, and nothing new
 
 
 def main() -> None:
--- a/benchmarks/scale/phases.py
+++ b/benchmarks/scale/phases.py
@@ -105,7 +105,8 @@
     """All registered, watching and, the real ones, serving; the hollow ones report not yet."""
     say(f"size {world.size}: begins")
     await world.all(talk.LEASE)
-    await all_listed(world)
+    if missing := await unlisted(world):
+        raise StateError(f"{missing} endpoints not listed in {WITHIN_S} s", "see the writer's log")
     await world.all(talk.WATCH)
     version = await world.version()
     if (held := await world.until(version, WITHIN_S)) < world.hollow:
@@ -113,13 +114,14 @@
     await world.begin_real()
 
 
-async def all_listed(world: World) -> None:
-    """Returns once the writer lists all; StateError where that takes more than `WITHIN_S`."""
+async def unlisted(world: World) -> int:
+    """How many endpoints the writer does not list, once it is none or after `WITHIN_S`."""
     began = time.monotonic()
     while missing := world.ids - await world.listed(world.writer):
         if time.monotonic() - began > WITHIN_S:
-            raise StateError(f"{len(missing)} endpoints not listed in {WITHIN_S} s", "see the writer's log")
+            break
         await asyncio.sleep(AGAIN_S)
+    return len(missing)
 
 
 async def report(world: World) -> None:
@@ -162,7 +164,7 @@
     await asyncio.sleep(max(0.0, began + length_s / 2 - time.monotonic()))
     at = time.monotonic()
     await world.all(talk.COMEBACK, zone=DRAINED)
-    await all_listed(world)
+    await unlisted(world)  # those that are missing even then are in the figures
     back = Asked(await world.version(), at, "back")
     await world.until(back.version, WITHIN_S)
     return [gone, back]
--- a/benchmarks/scale/world.py
+++ b/benchmarks/scale/world.py
@@ -36,6 +36,7 @@
 LOAD_PAUSE_S = 0.05
 REAL_FROM, CHANGED = 1_000_000, 2_000_000  # places of endpoints that are no hollow sidecar's
 CALL_S, START_S, END_S = 5.0, 60.0, 5.0
+ASKED_MOST = 3
 LINE_MOST = 1 << 28
 METRIC = re.compile(r"^(\w+)(\{[^}]*\})? (\S+)$", re.MULTILINE)
 
@@ -225,8 +226,11 @@
         return {f"{name}{labels}": float(value) for name, labels, value in METRIC.findall(text)}
 
     async def version(self) -> int:
-        """Of the writer's list."""
-        return int((await self.metrics(self.writer)).get("registry_version", 0))
+        """Of the writer's list; 0 where the writer does not answer, asked more than once."""
+        for _ in range(ASKED_MOST):
+            if told := await self.metrics(self.writer):
+                return int(told["registry_version"])
+        return 0
 
     async def listed(self, of: Program) -> set[str]:
         """The ids of the hollow sidecars' endpoints that are in its list."""
