Give the interrupted measurer of a test the signal that a terminal gives

Cause: test_interrupted_it_leaves_no_process_and_no_file failed in a whole ./check that a shell ran as a background job: such a job ignores SIGINT, and so did all that it started, so the measurer ran to its end (exit 0). Ruled out: load (it fails alone as well, in the background) and the measurer's own ending. Change: the test starts it with the signal's default, as a terminal does; it asserts what it did before.

--- a/tests/test_scale_path.py
+++ b/tests/test_scale_path.py
@@ -47,6 +47,12 @@
     assert one.void == (one.driver_lag_p99_ms > points.LAG_MOST_MS)
 
 
+def _as_from_a_terminal() -> None:
+    _end_with_parent()
+    # A shell's background job ignores it, and what it starts would: the tests may be such a job.
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 def test_interrupted_it_leaves_no_process_and_no_file(tmp_path: Path) -> None:
     command = [sys.executable, "-m", "benchmarks.scale.latency", "--sizes", "3", "--turns", "1"]
     command += ["--out", str(tmp_path / "out" / "path.jsonl"), "--phases", "inner"]
@@ -54,7 +60,7 @@
     folder.mkdir()
     with subprocess.Popen(
         command, stderr=subprocess.PIPE, text=True, env={**os.environ, "TMPDIR": str(folder)},
-        start_new_session=True, preexec_fn=_end_with_parent,
+        start_new_session=True, preexec_fn=_as_from_a_terminal,
     ) as process:  # fmt: skip
         assert process.stderr is not None
         assert any("all are up" in line for line in process.stderr)
