Say why each call to discovery ended, in the log and on the lost line

Change: net/stream.py is split off discovery.py; CallEnd names the reason of each end, logged with status and age at debug, and with the one line of an outage. No decision changes. Tests import Stream and LISTS from their new module; one test of the reasons is new.

--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -28,8 +28,9 @@
 from woadyard.errors import PeerError
 from woadyard.interface import LIST_DELTA, Send
 from woadyard.lists.service import PATH
-from woadyard.net.discovery import LISTS, Discovery
+from woadyard.net.discovery import Discovery
 from woadyard.net.reporter import Orders, Reporter, now_us
+from woadyard.net.stream import LISTS
 from woadyard.standins.lease import Lease
 
 ATTEMPT_S, LOOK_S = 1.0, 0.005
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 import socket
 from collections.abc import Callable, Coroutine
 from random import Random
@@ -14,9 +15,10 @@
 
 from tests.sockets import Endpoint, Registry, push, read_message, request, run, sidecar
 from woadyard.errors import PeerError
-from woadyard.net.discovery import LISTS, Discovery, Stream
+from woadyard.net.discovery import LOST, Discovery
 from woadyard.net.lines import Objects
 from woadyard.net.state import endpoint_number
+from woadyard.net.stream import LISTS, CallEnd, Stream
 
 
 class Clock:
@@ -274,3 +276,32 @@
             opened[0].close()
 
     run(main())
+
+
+@pytest.mark.parametrize(
+    ("data", "end"),
+    [
+        (b"HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nbusy", CallEnd.STATUS),
+        (HEAD + b'5\r\n{"a"\n\r\n0\r\n\r\n', CallEnd.MALFORMED),
+        (HEAD + b"0\r\n\r\n", CallEnd.CLOSED),
+        (b"garbage\r\n\r\n", CallEnd.MALFORMED),
+        (b"", CallEnd.SILENT),
+    ],
+)
+def test_the_end_of_a_call_is_logged_with_its_reason(
+    data: bytes, end: CallEnd, caplog: pytest.LogCaptureFixture
+) -> None:
+    clock = Clock()
+    loop = cast(asyncio.AbstractEventLoop, clock)
+    discovery = Discovery(loop, "127.0.0.1:1", "/list", False, lambda *_: None, Random(1))
+    with caplog.at_level(logging.DEBUG):
+        discovery.watch(True)
+        assert discovery.stream is not None
+        discovery.stream.connection_made(Mock())
+        if data:
+            discovery.stream.data_received(data)
+        clock.go_to(3.0)
+    ended = [record for record in caplog.records if record.getMessage() == "discovery call ended"]
+    assert [record.__dict__["reason"] for record in ended] == [end]
+    lost = [record for record in caplog.records if record.getMessage() == LOST]
+    assert [record.__dict__["reason"] for record in lost] == [end]
--- a/tests/test_discovery_chains.py
+++ b/tests/test_discovery_chains.py
@@ -20,9 +20,10 @@
 from woadyard.__main__ import Reload
 from woadyard.net import discovery as net
 from woadyard.net.config import Config
-from woadyard.net.discovery import Discovery, Stream
+from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver
 from woadyard.net.held import OTHER_S
+from woadyard.net.stream import Stream
 from woadyard.net.upstream import Upstream
 from woadyard.wire import read_settings
 
--- a/tests/test_discovery_crowd.py
+++ b/tests/test_discovery_crowd.py
@@ -22,8 +22,9 @@
 
 from tests.test_discovery import HEAD
 from tests.test_discovery_chains import FAILED, PERIODS, Chain, Event, hanging, settings_of
-from woadyard.net.discovery import Discovery, Stream
+from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver
+from woadyard.net.stream import Stream
 from woadyard.net.upstream import Upstream
 from woadyard.wire import read_settings
 
--- a/woadyard/net/auditing.py
+++ b/woadyard/net/auditing.py
@@ -14,11 +14,12 @@
 from woadyard.errors import PeerError
 from woadyard.interface import Split
 from woadyard.net.arms import Arms
-from woadyard.net.discovery import LISTS, Discovery
+from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver
 from woadyard.net.evidence import EvidenceCounts
 from woadyard.net.reporter import Orders, Reporter
 from woadyard.net.server import Server
+from woadyard.net.stream import LISTS
 from woadyard.net.trials import Trials
 
 LOOK_S = 0.25  # at whether an experiment holds
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -12,16 +12,12 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any
 
-import httptools
-import msgspec
-
-from woadyard.errors import PeerError
 from woadyard.membership import Listen
 from woadyard.net.backoff import Backoff
 from woadyard.net.held import REFUSE, TAKE, Held, Named, Told
-from woadyard.net.lines import Objects
+from woadyard.net.stream import CallEnd, Stream
 
 # While nothing changes an empty line comes every 2 s: soon after a missed one the
 # watch is taken for dead, as a network that is cut off says nothing. What changes
@@ -42,96 +38,6 @@
 LOST = "discovery lost, the last list kept"
 
 
-LISTS: msgspec.json.Decoder[Told] = msgspec.json.Decoder(Told)
-
-
-class Stream(asyncio.Protocol):
-    """One answer of discovery: a watch, or one whole list."""
-
-    def __init__(self, owner: Discovery, target: str, watch: bool) -> None:
-        self.owner, self.target, self.watch = owner, target, watch
-        self.parser = httptools.HttpResponseParser(self)
-        self.lists = Objects(LISTS)
-        self.transport: asyncio.Transport | None = None
-        self.status = 0  # of the answer, once its head has come
-        self.ended = False  # the answer has
-        self.other = False  # it told a list of another log than the one held
-        self.done = False  # whole, or given up: its end says nothing
-        self.heard = owner.loop.time()  # of it: a whole head or line, or the beginning of one
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        if self.done:
-            self.transport.abort()
-            return
-        head = f"GET {self.target} HTTP/1.1\r\nHost: {self.owner.address}\r\n{self.owner.held.header()}\r\n"
-        self.transport.write(head.encode())
-
-    def data_received(self, data: bytes) -> None:
-        if self.done:
-            return
-        said = self.lists.said
-        try:
-            if data:
-                self.parser.feed_data(data)
-            else:
-                self.lists.feed(b"\n")
-            self._read()
-            # Guards against bytes that trickle in and never make a list.
-            if self.lists.said > said:
-                self.heard = self.owner.loop.time()
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._bad(PeerError(f"no HTTP answer: {error}"))
-        except PeerError as error:
-            self._bad(error)
-
-    def _bad(self, error: PeerError) -> None:
-        LOG.warning("bad line from discovery", extra={**error.fields(), "at": self.owner.address})
-        self.fail()
-
-    def on_headers_complete(self) -> None:
-        if (status := self.parser.get_status_code()) >= 200:
-            self.status = status
-            self.heard = self.owner.loop.time()
-
-    def on_body(self, data: bytes) -> None:
-        if self.status == 200:
-            self.lists.feed(data)
-
-    def on_message_complete(self) -> None:
-        self.ended = self.status >= 200
-        if self.ended:
-            self.lists.feed(b"\n")
-
-    def _read(self) -> None:
-        if self.status == 200:
-            for told in self.lists.whole():
-                if not self.owner.take(told):
-                    self.other = told.lineage != self.owner.held.name.lineage
-                    self.fail()
-                elif not self.watch:
-                    self.stop()
-                if self.done:
-                    return
-        if self.ended or self.status not in (0, 200):
-            self.fail()
-
-    def stop(self) -> None:
-        self.done = True
-        if self.transport is not None:
-            self.transport.abort()
-
-    def fail(self) -> None:
-        if not self.done:
-            self.stop()
-            self.owner.lost(self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        if exc is None and self.status == 200 and not self.done:
-            self.data_received(b"")  # an answer without length ends so
-        self.fail()
-
-
 class Discovery:
     def __init__(
         self,
@@ -244,8 +150,12 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 await self.loop.create_connection(lambda: stream, host, int(port))
-        except (OSError, TimeoutError):
-            stream.fail()
+        except TimeoutError:
+            stream.fail(CallEnd.CONNECT_TIMEOUT)
+        except (ConnectionRefusedError, ConnectionResetError):
+            stream.fail(CallEnd.REFUSED)
+        except OSError:
+            stream.fail(CallEnd.SYSTEM)
 
     def _check(self, stream: Stream) -> None:
         """Guards against a watch, or a call, that died without a word."""
@@ -255,7 +165,7 @@
         if left > 0.0:
             self.loop.call_later(left, self._check, stream)
         else:
-            stream.fail()
+            stream.fail(CallEnd.SILENT)
 
     def take(self, told: Told) -> bool:
         """One list; PeerError where an entry is none, before any of it is used. False
@@ -291,12 +201,13 @@
     def lost(self, stream: Stream) -> None:
         if self.closed or self.watching:  # beside a watch, a call that failed says nothing
             return
+        self._log_end(stream)
         # What was heard of another log, or of nobody, is no sign of the one held.
         if stream is self.stream and stream.lists.said and not stream.other:
             self.held.heard = max(self.held.heard, stream.heard)
         if not self.out:  # once an outage, not once a try
             self.out = True
-            fields = {"at": self.address, "version": self.generation}
+            fields = {"at": self.address, "version": self.generation, "reason": stream.end}
             LOG.warning(LOST, extra=fields)
         self.turn = (self.turn + 1) % len(self.replicas)
         if not self.pushed and not self.moving:
@@ -306,6 +217,16 @@
             # over the whole backoff, not in step at its middle.
             self.loop.call_later(self.backoff.next_s(), self._again, stream)
 
+    def _log_end(self, stream: Stream) -> None:
+        age_ms = round((self.loop.time() - stream.begun) * 1000)
+        fields = {
+            "reason": stream.end,
+            "status": stream.status,
+            "age_ms": age_ms,
+            "told": stream.lists.said > 0,
+        }
+        LOG.debug("discovery call ended", extra={**fields, "at": self.address, "version": self.generation})
+
     def _again(self, stream: Stream) -> None:
         if stream is self.stream:
             self.watch(True)
