--- /dev/null
+++ b/tests/crowded_registry.py
@@ -0,0 +1,62 @@
+"""A stand-in for discovery that tells its list, and can be made to turn every call away."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+from typing import Any
+
+from tests.sockets import Listener, Reader, Writer, push, push_raw, read_message
+
+QUEUE_S = 2.0  # a call waits so long in the queue before it is turned away
+HEARTBEAT_S = 0.5
+REFUSAL = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@dataclass
+class CrowdedRegistry(Listener):
+    """While `crowded`, it resets its watches and answers each call 503 after `QUEUE_S`."""
+
+    entries: list[dict[str, Any]] = field(default_factory=list)
+    generation: int = 5
+    crowded: bool = False
+    watches: set[Writer] = field(default_factory=set)
+    told: asyncio.Event = field(default_factory=asyncio.Event)
+    refused: int = 0
+
+    def crowd(self) -> None:
+        self.crowded = True
+        for writer in self.watches:
+            writer.transport.abort()
+
+    def heal(self, *entries: dict[str, Any]) -> None:
+        """Answers again, with this list."""
+        self.entries, self.generation, self.crowded = list(entries), self.generation + 1, False
+        self.told.clear()
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            await read_message(reader)
+            if self.crowded:
+                await self._refuse(writer)
+            else:
+                await self._watch(writer)
+        self.watches.discard(writer)
+        writer.close()
+
+    async def _refuse(self, writer: Writer) -> None:
+        await asyncio.sleep(QUEUE_S)
+        self.refused += 1
+        writer.write(REFUSAL)
+        await writer.drain()
+
+    async def _watch(self, writer: Writer) -> None:
+        self.watches.add(writer)
+        writer.write(HEAD)
+        push(writer, self.generation, True, *self.entries)
+        self.told.set()
+        while not writer.transport.is_closing():
+            await asyncio.sleep(HEARTBEAT_S)
+            push_raw(writer, b"\n")
