Send only under a membership lease that discovery's heartbeats renew

Cause: an outdated list only lowered weights (Choice._doubtful, a factor of 0.001), and where both draws were doubtful one was sent to; and an endpoint's answer counted for 5.4 s as proof that it did not drain, though endpoints that drain answer on for up to 1.94 s. Both send on a list that may be bound already. Change: policy/lease.py. Each list and each heartbeat of the watch that told it renews a lease of 5.5 s, and nothing else does but a single address that refuses connections; it ends by itself on whatever path a watch is lost. Checked in every draw, in the one guard before a send and, by start_by, at the first byte. An answer stands in for 2.5 s, not after a silent watch or a new address. At the entry a request without any endpoint under a lease is refused at once.

--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -48,7 +48,8 @@
 
 
 async def end(process: Process) -> None:
-    process.kill()
+    with contextlib.suppress(ProcessLookupError):  # it was ended by the test
+        process.kill()
     await process.communicate()
 
 
@@ -126,6 +127,7 @@
             **config(tmp_path, registry, endpoint, listen=f"127.0.0.1:{port}"),
             "LB_ACCEPT_FD": str(listening.fileno()),
         }
+        elder = None
         for _ in range(2):
             async with asyncio.timeout(READY_S):
                 door = free_port()
@@ -133,6 +135,9 @@
                 stack.push_async_callback(end, process)
                 await at_door(door)
                 await ready(port)
+            if elder is not None:
+                elder.kill()  # all requests go to the one that took over
+            elder = process
         await served(port)
 
 
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -54,6 +54,11 @@
         self.told = asyncio.Event()  # a list, since the start
         self.on_failed: Callable[[], None] = lambda: None
         self.on_anew: Callable[[], None] = lambda: None  # generations count anew from the next list
+        # What renews and ends the membership lease (woadyard/policy/lease.py).
+        self.on_confirmed: Callable[[], None] = lambda: None
+        self.on_silent: Callable[[], None] = lambda: None
+        self.on_moved: Callable[[], None] = lambda: None
+        self.on_unreachable: Callable[[float], None] = lambda since_s: None  # nobody listened then
         self.held = Held()
         self.telling = ("", 0)  # lineage and term of the list that is being told, or was last
         self.stream: Stream | None = None  # the watch
@@ -109,6 +114,7 @@
         self._settle(address)
         # With a replica in common it is the same service: its versions go on.
         self.moving, self.held.trusting = True, not before & set(self.replicas)
+        self.on_moved()
         self.backoff.reset()
         if self.stream is not None:
             self.watch(True)
@@ -152,8 +158,12 @@
                 await self.loop.create_connection(lambda: stream, host, int(port))
         except TimeoutError:
             stream.fail(CallEnd.CONNECT_TIMEOUT)
-        except (ConnectionRefusedError, ConnectionResetError):
+        except ConnectionRefusedError:
+            if len(self.replicas) == 1:  # another replica may be there
+                self.on_unreachable(stream.begun)
             stream.fail(CallEnd.REFUSED)
+        except ConnectionResetError:
+            stream.fail(CallEnd.RESET)
         except OSError:
             stream.fail(CallEnd.SYSTEM)
 
@@ -185,6 +195,8 @@
         self.told.set()
         if not told.following:
             return False
+        if verdict == TAKE:
+            self.confirm()
         self.backoff.reset()
         if self.out:
             self.out = False
@@ -198,10 +210,16 @@
         self.listen(name.generation, whole, entries)
         self.held.take(name, self.loop.time())
 
+    def confirm(self) -> None:
+        """The list held is the one in force by now."""
+        self.on_confirmed()
+
     def lost(self, stream: Stream) -> None:
         if self.closed or self.watching:  # beside a watch, a call that failed says nothing
             return
         self._log_end(stream)
+        if stream.current and stream.end is CallEnd.SILENT:
+            self.on_silent()
         # What was heard of another log, or of nobody, is no sign of the one held.
         if stream is self.stream and stream.lists.said and not stream.other:
             self.held.heard = max(self.held.heard, stream.heard)
--- a/woadyard/net/driver.py
+++ b/woadyard/net/driver.py
@@ -113,16 +113,25 @@
 
     def start(self, known: dict[str, Any] | None, alone: bool = True) -> None:
         self._retuned()
-        self.tell(self.balancer.start, alone)
+        self.tell(self.balancer.start, alone, self.discovery is not None)
         if known is not None:
             self._list(LIST_CACHED, int(known["generation"]), known["instances"])
         if self.discovery is not None:
             self.discovery.generation = int(known["generation"]) if known else 0
             self.discovery.on_failed = self._list_failed
             self.discovery.on_anew = self.listing.left.clear
+            self._lease_from(self.discovery)
             if self.discovery.pushed:
                 self.discovery.watch(True)
 
+    def _lease_from(self, discovery: Discovery) -> None:
+        """The membership lease follows what discovery is heard of."""
+        balancer = self.balancer
+        discovery.on_confirmed = lambda: self.tell(balancer.confirmed)
+        discovery.on_silent = lambda: self.tell(balancer.silent)
+        discovery.on_moved = lambda: self.tell(balancer.moved)
+        discovery.on_unreachable = lambda since_s: self.tell(balancer.unreachable, round(since_s * 1e6))
+
     # --- Settings ---------------------------------------------------------------------
 
     def retune(self, raw: dict[str, Any], read: Settings, locality: Locality | None = None) -> None:
--- a/woadyard/net/lines.py
+++ b/woadyard/net/lines.py
@@ -29,6 +29,7 @@
         self.lines: list[bytes] = []  # of an object that is open
         self.depth = self.size = 0
         self.said = 0  # lines begun between objects, and objects ended
+        self.blank = 0  # whole empty lines between objects: signs of life
 
     def feed(self, data: bytes) -> None:
         if not self.rest and not self.lines:
@@ -45,6 +46,8 @@
                 yield from self._further(line)
             elif line:
                 yield from self._first(line)
+            else:
+                self.blank += 1
 
     def _first(self, line: bytes) -> Iterator[T]:
         try:
--- a/woadyard/net/stream.py
+++ b/woadyard/net/stream.py
@@ -41,6 +41,7 @@
     @property
     def address(self) -> str: ...
     def take(self, told: Told) -> bool: ...
+    def confirm(self) -> None: ...
     def lost(self, stream: Stream) -> None: ...
 
 
@@ -57,6 +58,7 @@
         self.status = 0  # of the answer, once its head has come
         self.ended = False  # the answer has
         self.other = False  # it told a list of another log than the one held
+        self.current = False  # the list that it told is the one held
         self.done = False  # whole, or given up: its end says nothing
         self.end: CallEnd | None = None  # why it failed
         self.begun = owner.loop.time()
@@ -73,7 +75,7 @@
     def data_received(self, data: bytes) -> None:
         if self.done:
             return
-        said = self.lists.said
+        said, beats = self.lists.said, self.lists.blank
         try:
             if data:
                 self.parser.feed_data(data)
@@ -83,6 +85,8 @@
             # Guards against bytes that trickle in and never make a list.
             if self.lists.said > said:
                 self.heard = self.owner.loop.time()
+            if self.current and not self.done and self.lists.blank > beats:
+                self.owner.confirm()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._bad(PeerError(f"no HTTP answer: {error}"))
         except PeerError as error:
@@ -112,9 +116,11 @@
                 if not self.owner.take(told):
                     self.other = told.lineage != self.owner.held.name.lineage
                     self.fail(CallEnd.OUTDATED)
-                elif not self.watch:
+                    return
+                # A replica that lags told an older list: what it says confirms nothing.
+                self.current = self.owner.held.name == told.name
+                if not self.watch:
                     self.stop()
-                if self.done:
                     return
         if self.status not in (0, 200):
             self.fail(CallEnd.STATUS)
--- a/woadyard/policy/balancer.py
+++ b/woadyard/policy/balancer.py
@@ -2,6 +2,7 @@
 of parts that each know one decision. No I/O, no clock, no threads."""
 
 from collections.abc import Mapping, Sequence
+from math import inf
 
 from woadyard.interface import (  # isort: skip
     CANCELLED, ERROR, FULL, KEYED, MOOT, OK, RESET, TIMEOUT, Action, Arrival, Cancel, Entry,
@@ -10,7 +11,7 @@
 from woadyard.policy.admission import HELD_EACH, HELD_MOST, Admission, Worth  # isort: skip
 from woadyard.policy.choice import Choice
 from woadyard.policy.health import BLAME, Health, SlowStart
-from woadyard.policy.membership import START_PART, TAKE_OVER_PART, Membership
+from woadyard.policy.membership import Membership
 from woadyard.policy.order import Order
 from woadyard.policy.request import Attempt, Request
 from woadyard.policy.ring import Ring
@@ -42,10 +43,10 @@
         self.out.clear()
         return out
 
-    def start(self, now: int, alone: bool = True) -> list[Action]:
+    def start(self, now: int, alone: bool = True, heartbeats: bool = False) -> list[Action]:
         self.ctx.sends.began = self.ctx.served.began = now
-        self.ctx.stale = max(1, now - self.s.ask_within_us) if self.s.asks_discovery else 0
-        self.membership.ask(START_PART if alone else TAKE_OVER_PART)
+        self.ctx.lease.start(now, alone, heartbeats)
+        self.membership.start(alone)
         return self._taken(now)
 
     def retune(self, now: int, settings: Settings) -> list[Action]:
@@ -73,6 +74,26 @@
         self.membership.listed(now, mode, entries)
         return self._taken(now)
 
+    def confirmed(self, now: int) -> list[Action]:
+        """A heartbeat of the watch: nothing changed since the list that it told."""
+        self.ctx.lease.confirm(now)
+        return self._taken(now)
+
+    def unreachable(self, now: int, since: int) -> list[Action]:
+        """Nobody listened at discovery's address at that time."""
+        self.ctx.lease.unreachable(since)
+        return self._taken(now)
+
+    def silent(self, now: int) -> list[Action]:
+        """The watch told nothing for longer than between two heartbeats."""
+        self.ctx.lease.silent()
+        return self._taken(now)
+
+    def moved(self, now: int) -> list[Action]:
+        """Discovery has another address."""
+        self.ctx.lease.moved(now)
+        return self._taken(now)
+
     def detach(self, now: int, number: int) -> list[Action]:
         self.membership.detach(number)
         return self._taken(now)
@@ -176,8 +197,7 @@
 
     def _try(self, now: int, request: Request) -> None:
         """Send the request somewhere, hold it within its aim, or end it."""
-        # With all endpoints taken out there is nothing to wait for.
-        if not request.may_repeat(now, self.s) or (self.membership.banned and not self.ring.order):
+        if not request.may_repeat(now, self.s) or self._hopeless(now, request):
             self._end(now, request)
             return
         if waits := self.order.has_turn(now, request):
@@ -190,16 +210,28 @@
         elif waits:
             self.ctx.timer(TIMER_HOLD, request.id, hold)
 
+    def _hopeless(self, now: int, request: Request) -> bool:
+        """Whether there is nothing to wait for: all endpoints are taken out, or none has a lease. Behind
+        the entry a request waits for a lease all the same: refusing it wastes the work done above."""
+        if not self.ring.order:
+            return bool(self.membership.banned)
+        if self.s.stage or now < self.ctx.lease.expires:
+            return False
+        return not any(self.ctx.lease.allows(now, one.answered_at) for _, one in self.ring.order)
+
     def _send(self, now: int, request: Request, endpoint: Endpoint, trial: bool = False) -> bool:
         """The one guard: every send passes here and keeps the rules: attempts, second copies, repeat scope
-        and window, drain, order, shared limit, cold budget."""
+        and window, drain, membership lease, order, shared limit, cold budget."""
         if not request.may_repeat(now, self.s) or not endpoint.ready or not self.order.has_turn(now, request):
             return False
+        lease = self.ctx.lease.until(endpoint.answered_at)
+        if now >= lease:
+            return False
         known = request.cls.effect != KEYED or request.in_scope(endpoint)
         if endpoint.inflight >= endpoint.cap or not known or not self.slow.spend(now, endpoint, trial):
             return False
         self.membership.trials.pop(endpoint.id, None)
-        start_by = request.start_by()
+        start_by = int(min(request.start_by(), lease)) if lease < inf else request.start_by()
         request.attempts.append(attempt := Attempt(endpoint, now))
         endpoint.quiet_since = endpoint.quiet_since if endpoint.inflight else now
         endpoint.inflight += 1
--- a/woadyard/policy/choice.py
+++ b/woadyard/policy/choice.py
@@ -11,7 +11,6 @@
 
 DRAW_MAX = 32  # a longer group is sampled first: bounds the work of a pick on the whole ring
 STALL_WEIGHT = 0.05  # what is left of the weight of an endpoint that looks frozen
-DOUBT_WEIGHT, DOUBT_AFTER = 0.001, 1.8  # weight left, and after how many times that discovery may go unasked
 WELL = 0.3  # with less health a home, or all of an arm, is passed by: two failures of most kinds
 
 
@@ -73,7 +72,7 @@
     def _choose(self, now: int, request: Request, groups: Sequence[Group]) -> Endpoint | None:
         """One draw from each group that has an eligible endpoint: fewer own calls win, ties go left."""
         drawn = [one for one in (self._draw(now, request, group) for group in groups) if one is not None]
-        best = min(drawn, key=lambda one: (self._doubtful(now, one), one.inflight), default=None)
+        best = min(drawn, key=lambda one: one.inflight, default=None)
         for other in drawn:
             if best and other.inflight == best.inflight and other is not best:
                 worse = self._weight(now, other, request.sort) / self._weight(now, best, request.sort) - 1.0
@@ -98,6 +97,8 @@
         held_back = now < endpoint.crowded or endpoint.inflight >= endpoint.cap
         if tried or held_back or endpoint.arm != request.arm:
             return False
+        if not self.ctx.lease.allows(now, endpoint.answered_at):
+            return False
         return not self.slow.is_cold(now, endpoint) or self.slow.budget(now, endpoint) >= 1.0
 
     def _weight(self, now: int, endpoint: Endpoint, sort: int) -> float:
@@ -105,10 +106,4 @@
         weight = endpoint.trust * endpoint.rating * self.slow.warmth(now, endpoint) / endpoint.slowness
         if endpoint.health[sort][0] < 1.0:
             weight *= self.health.of(now, endpoint, sort)
-        weight *= DOUBT_WEIGHT if self._doubtful(now, endpoint) else 1.0
         return weight * STALL_WEIGHT if self.health.stalled(now, endpoint) else weight
-
-    def _doubtful(self, now: int, endpoint: Endpoint) -> bool:
-        """Guards drains that discovery could not tell of, which bind all the same some time later."""
-        since = max(self.ctx.stale, endpoint.proven)
-        return self.ctx.stale > 0 and now - since > DOUBT_AFTER * self.ctx.s.ask_within_us
--- a/woadyard/policy/health.py
+++ b/woadyard/policy/health.py
@@ -105,7 +105,7 @@
             health += REPAIR * (1.0 - health)
             endpoint.health[sort] = 1.0 if health > 0.99 else health, now, endpoint.health[sort][2] / 2.0
         self.ctx.served.add(now)
-        endpoint.proven = max(endpoint.proven, now - delay_us)
+        endpoint.answered_at = max(endpoint.answered_at, now - delay_us)
         usual = self.ctx.latencies[request.kind]
         usual.add(delay_us)
         self.ctx.latency.add(delay_us)
--- a/woadyard/policy/membership.py
+++ b/woadyard/policy/membership.py
@@ -11,6 +11,7 @@
 # Discovery is asked first within these parts of the time it may go unasked (one that takes over starts for
 # itself), and again within this part, doubled by failures up to the last.
 START_PART, TAKE_OVER_PART, ASK_AGAIN, ASK_MOST = 0.25, 0.02, 0.1, 0.4
+START_MOST_US = 2_000_000  # and no later than this
 # After one that took over the first part to fail, in a crowd: within the second, and the third of its begin.
 SLOW, SLOW_MOST, SLOW_WITHIN = 0.15, 0.85, 1.5
 # One put back is sent its first request within the first, each copy at its own time, as all their trials add
@@ -31,11 +32,16 @@
         if (s := self.ctx.s).asks_discovery:
             self.ctx.timer(TIMER_WATCH, 0, int(part * s.ask_within_us * self.ctx.rng.random() ** power))
 
+    def start(self, alone: bool) -> None:
+        """The first call, while the lease on the list from before the start lasts."""
+        part = START_PART if alone else TAKE_OVER_PART
+        self.ask(min(part, START_MOST_US / self.ctx.s.ask_within_us))
+
     def listed(self, now: int, mode: int, entries: Sequence[Entry]) -> None:
         if mode == LIST_FAILED:
-            # Guards drains, told or not while nobody listens; failures in a row spread copies.
+            # Failures in a row spread copies.
             took = (now - self.asked) / self.ctx.s.ask_within_us
-            self.ctx.stale = self.ctx.stale or max(1, now - self.ctx.s.ask_within_us)  # silent before
+            self.ctx.lease.failed(now, self.ctx.s.ask_within_us)
             if took > SLOW and self.unheard + self.slow:  # and no watch that had told a list
                 self.unheard, self.slow = 0, self.slow + 1
                 most = min(SLOW_MOST, max(ASK_AGAIN, SLOW_WITHIN - took), ASK_AGAIN * 2.0**self.slow)
@@ -46,7 +52,8 @@
             return
         changed = False
         if mode != LIST_CACHED:  # a list from before the start is no word of discovery
-            self.unheard, self.slow, self.ctx.stale = 0, 0, 0
+            self.unheard, self.slow = 0, 0
+            self.ctx.lease.confirm(now)
         if mode != LIST_DELTA:
             named = {entry.endpoint for entry in entries}
             self.banned |= dict.fromkeys(self.banned.keys() - named)
@@ -79,7 +86,9 @@
         """An endpoint that came back and is due its first request."""
         for number, due in () if request.attempts else self.trials.items():
             one = self.ring.endpoints.get(number)
-            if one and one.own and one.ready and now >= due and one.arm == request.arm:
+            if one is None or not self.ctx.lease.allows(now, one.answered_at):
+                continue
+            if one.own and one.ready and now >= due and one.arm == request.arm:
                 return one
         return None
 
--- a/woadyard/policy/state.py
+++ b/woadyard/policy/state.py
@@ -4,6 +4,7 @@
 from math import exp
 
 from woadyard.interface import FULL, NEVER_RAN, Action, Entry, Settings, Split, Timer, Verdict
+from woadyard.policy.lease import MembershipLease
 from woadyard.policy.zones import Zones
 
 HOLD_SHARE = 0.02  # of the class's aim: pause before asking again for an endpoint when none may be drawn
@@ -22,7 +23,8 @@
         self.inflight = self.quiet_since = self.arm = 0
         self.moving = 0  # of those in flight, bodies and answers on their way: no answer is owed yet
         self.crowded = 0  # it was full: nothing is sent before this
-        self.budget, self.budget_at, self.proven = 0.0, 0, 0  # proven: when its latest answer was asked for
+        self.budget, self.budget_at = 0.0, 0
+        self.answered_at = 0  # when its latest answer was asked for; 0: none yet
         self.cap = MAX_HELD  # attempts out from here at most
         self.trust = 1.0  # what others' verdicts leave of its weight
         self.accused: str | None = None  # the verdict that the others were told
@@ -93,7 +95,7 @@
         self.out: list[Action] = []
         self.latencies: list[Latency] = []  # by class
         self.latency = Latency()
-        self.stale = 0  # since when the list may be: discovery lost, or not heard yet; 0 while it is told
+        self.lease = MembershipLease()
         self.zones: Zones | None = None
         self.split: Split | None = None  # the experiment in force
         self.derive(settings)
