--- a/woadyard/net/attempts.py
+++ b/woadyard/net/attempts.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from woadyard.interface import CANCELLED, MOOT, NO_CONNECT, OK, TIMEOUT, Outcome, Send
+from woadyard.net.invariants import Invariants
 from woadyard.net.message import Answer, Attempt
 from woadyard.net.names import InForce
 from woadyard.net.places import Places
@@ -27,7 +28,9 @@
         requests.stop = self.stop
         # The audit is told of attempts that no endpoint saw: request and endpoint.
         self.unsent: Callable[[int, int], None] | None = None
+        self.invariants = Invariants(force, places, turns.metrics)
         upstream.ended, upstream.may_start, upstream.relay = self.ended, self.may_start, self.relay
+        upstream.written = self.invariants.written
 
     def may_start(self, attempt: Attempt, now: int) -> bool:
         if not attempt.call.open or now >= min(attempt.until, attempt.start_by):
@@ -91,7 +94,7 @@
         """The one outcome of an attempt."""
         if not attempt.out:
             return
-        attempt.out = False
+        attempt.out, attempt.outcome = False, outcome
         if attempt.timer is not None:
             attempt.timer.cancel()
             attempt.timer = None
--- /dev/null
+++ b/woadyard/net/invariants.py
@@ -0,0 +1,88 @@
+"""Run-time checks of the rules: what must never happen is counted at the moment of the act.
+
+The guards (`Balancer._send`, `Attempts.may_start`, `Server.close`) keep the rules by what they know
+beforehand. The checks here come after the act and read the clock anew, so they also see a process that
+was held up between its guard and its write. They change nothing; each violation is counted, logged, and
+shown as `woadyard_invariant_violations` at the door. Times are of the driver's clock, in microseconds.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from woadyard.interface import FULL, KEYED, NEVER_RAN, SAFE
+from woadyard.net.message import Attempt, Call
+from woadyard.ops.metrics import Quiet
+
+if TYPE_CHECKING:
+    from woadyard.net.names import InForce
+    from woadyard.net.places import Places
+
+LOG = logging.getLogger(__name__)
+# The rules allow so much on their time limits (PROTOCOL), and a deadline passed on may exceed what the
+# client has left by the second (STANDING.md).
+SLACK_US, DEADLINE_SLACK_US = 50_000, 150_000
+
+
+class Rule(StrEnum):
+    """What a violation is of."""
+
+    SEND = "send"  # to an endpoint that drains, is gone, or whose lease has run out
+    START = "start"  # for a request that is over, or without time
+    REPEAT = "repeat"  # of a request that may have run, out of its effect, window or number
+    CLOSE = "close"  # of a connection that is still owed an answer
+
+
+class Invariants:
+    """Counts violations by rule."""
+
+    def __init__(self, force: InForce, places: Places, metrics: Quiet) -> None:
+        self.force, self.places, self.metrics = force, places, metrics
+        self.counts: Counter[Rule] = Counter()
+
+    def written(self, attempt: Attempt, now: int) -> None:
+        """The first bytes of an attempt were given to the system by now."""
+        if not self.places.may_have_started(attempt.endpoint, now - SLACK_US):
+            self._violated(Rule.SEND, "the endpoint drains or is gone", attempt)
+        if now > attempt.start_by + SLACK_US:
+            self._violated(Rule.SEND, "its lease, window or time has run out", attempt)
+        if not attempt.call.open:
+            self._violated(Rule.START, "the request has its answer", attempt)
+        if attempt.until > attempt.call.expires + DEADLINE_SLACK_US:
+            self._violated(Rule.START, "it is given more time than the client has left", attempt)
+        if why := self._repeated(attempt, now):
+            self._violated(Rule.REPEAT, why, attempt)
+
+    def closed(self, call: Call | None) -> None:
+        """This process ends a connection whose client is there, with this request read and unanswered."""
+        if call is not None and call.open:
+            self._count(Rule.CLOSE, "a request that was read has no answer", request=call.id)
+
+    def _repeated(self, attempt: Attempt, now: int) -> str:
+        """Why an attempt is a repeat that the rules forbid; empty where it is none."""
+        settings, call = self.force.settings, attempt.call
+        before = [one for one in call.attempts[: attempt.copy] if one.wrote]
+        if attempt.copy >= settings.max_attempts:
+            return "more attempts than allowed"
+        if not settings.second_copies and any(one.out for one in before):
+            return "an earlier attempt is still out"
+        cls = settings.classes[call.cls]
+        proofs = NEVER_RAN - {FULL} if settings.full_unproven else NEVER_RAN
+        maybe = next((one for one in before if one.outcome not in proofs), None)
+        if maybe is None or cls.effect == SAFE:
+            return ""
+        if cls.effect != KEYED:
+            return "an earlier attempt may have run"
+        late = now > maybe.sent + cls.window_us + SLACK_US
+        return "the window for repeats is over" if late else ""
+
+    def _violated(self, rule: Rule, why: str, attempt: Attempt) -> None:
+        self._count(rule, why, request=attempt.call.id, copy=attempt.copy, endpoint=attempt.endpoint)
+
+    def _count(self, rule: Rule, why: str, **fields: int) -> None:
+        self.counts[rule] += 1
+        self.metrics.violated(rule)
+        LOG.error("invariant violated", extra={"rule": rule, "why": why, **fields})
--- a/woadyard/net/link.py
+++ b/woadyard/net/link.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import select
+from collections.abc import Callable
 from typing import Protocol, cast
 
 import httptools
@@ -37,6 +38,8 @@
 
     def now(self) -> int: ...
     def may_start(self, attempt: Attempt, now: int) -> bool: ...
+    @property
+    def written(self) -> Callable[[Attempt, int], None]: ...
     def relay(self, attempt: Attempt, answer: Answer, length: int | None) -> bool: ...
     def ended(self, attempt: Attempt, outcome: int, answer: Answer | None, load: bytes) -> None: ...
     def gone(self, link: Link) -> None: ...
@@ -148,6 +151,7 @@
         self.unwritten = self.upload is not None
         attempt.wrote = True
         transport.write(request_bytes(attempt, now))
+        self.owner.written(attempt, self.owner.now())
         if self.upload is not None:
             self.upload.attach(self)
         if transport.is_closing():
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -154,7 +154,7 @@
 
 class Attempt:
     __slots__ = (
-        "call", "copy", "endpoint", "extra", "head_us", "link", "out", "sent", "start_by", "timer",
+        "call", "copy", "endpoint", "extra", "head_us", "link", "out", "outcome", "sent", "start_by", "timer",
         "until", "wrote",
     )  # fmt: skip
 
@@ -166,6 +166,7 @@
         self.until = until  # when the sidecar stops waiting
         self.start_by = start_by or until  # nothing of it is written from then on
         self.out = True  # no outcome yet
+        self.outcome: int | None = None
         self.extra = b""  # header lines of this attempt alone
         self.wrote = False  # a byte of it may have reached the endpoint
         self.head_us = 0  # until its answer began to be passed on
--- a/woadyard/net/places.py
+++ b/woadyard/net/places.py
@@ -16,6 +16,8 @@
 PHASES = {"ready": READY, "draining": DRAINING, "gone": GONE}
 # So many endpoints told away are remembered, the latest: no list is that old.
 LEFT_MOST = 4096
+# A process may be held up so long between reading its clock and writing (STANDING.md).
+HELD_UP_US = 150_000
 
 
 class Place:
@@ -70,10 +72,21 @@
     def may_start(self, endpoint: int, now: int) -> bool:
         """Whether anything may be sent there now: it is listed, or left within the grace."""
         place = self.by_number.get(endpoint)
+        if place is None or endpoint in self.bans.out:
+            return False
+        return place.left_at is None or now < place.left_at + self._start_grace_us()
+
+    def may_have_started(self, endpoint: int, now: int) -> bool:
+        """Whether something that is on its way by now may have been: the whole grace counts."""
+        place = self.by_number.get(endpoint)
         if place is None or endpoint in self.bans.out:
             return False
         return place.left_at is None or now < place.left_at + self.force.drain_grace_us
 
+    def _start_grace_us(self) -> int:
+        """What is left of the grace for a process that is held up before its write."""
+        return max(0, self.force.drain_grace_us - HELD_UP_US)
+
     def reopen(self, number: int) -> None:
         """An operator put it back."""
         if (place := self.by_number.get(number)) is not None and place.left_at is None:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -241,6 +241,9 @@
         self.lingering[caller] = self.driver.loop.time()
 
     def close(self, caller: Caller) -> None:
+        """The one place that ends a connection of a caller for good order."""
+        if caller.presence is not None and not caller.presence.has_left():
+            self.driver.attempts.invariants.closed(caller.call)
         self.resting.pop(caller, None)
         self.lingering.pop(caller, None)
         caller.over = True
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -42,6 +42,7 @@
         self.ended: Ended = lambda *_: None
         self.relay: Callable[[Attempt, Answer, int | None], bool] = lambda *_: False
         self.may_start: Callable[[Attempt, int], bool] = lambda *_: True
+        self.written: Callable[[Attempt, int], None] = lambda *_: None  # checks what was sent
 
     def retune(self, idle_us: int, connect_us: int) -> None:
         self.idle_s = IDLE_PART * (idle_us or IDLE_DEFAULT_US) / 1e6
--- a/woadyard/ops/metrics.py
+++ b/woadyard/ops/metrics.py
@@ -67,6 +67,9 @@
     def shares(self, count: int) -> None:
         """Attempts that may be out from here by the shares held, over all endpoints."""
 
+    def violated(self, rule: str) -> None:
+        """A rule that was broken all the same (`woadyard.net.invariants`)."""
+
     def render(self) -> str:
         return ""
 
@@ -120,6 +123,9 @@
         )
         zones = Counter("woadyard_zone_attempts", "Attempts by zone", ["zone"], registry=registry)
         self.zones = zones.labels
+        self.violations = Counter(
+            "woadyard_invariant_violations", "Rules found broken, by rule", ["rule"], registry=registry
+        )
         self.share_count = Gauge("woadyard_shares", "Shares of limits held", registry=registry)
 
     def taken(self) -> None:
@@ -174,5 +180,8 @@
     def shares(self, count: int) -> None:
         self.share_count.set(count)
 
+    def violated(self, rule: str) -> None:
+        self.violations.labels(rule).inc()
+
     def render(self) -> str:
         return generate_latest(self.registry).decode()
