--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -294,7 +294,7 @@
     clock = Clock()
     loop = cast(asyncio.AbstractEventLoop, clock)
     discovery = Discovery(loop, "127.0.0.1:1", "/list", False, lambda *_: None, Random(1))
-    with caplog.at_level(logging.DEBUG):
+    with caplog.at_level(logging.DEBUG, logger="woadyard.net.discovery"):
         discovery.watch(True)
         assert discovery.stream is not None
         discovery.stream.connection_made(Mock())
