Take a started endpoint for no older than any known wall clock says

Cause: an endpoint's age came from one reading of the wall clock at the list. A step of it forward makes a server in slow start look warm, so it gets more than it bears; a step back makes warm ones cold for an hour.

--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -61,7 +61,7 @@
     endpoint = Endpoint()
     async with sidecar(endpoint) as one:
         wall = 1_700_000_000_000_000
-        one.driver.listing.wall_us = lambda: wall
+        one.driver.listing.clock.wall_us = lambda: wall
         started = endpoint.entry(startedAtMs=wall // 1000 - 4_000)
         before = Driver.now()
         one.told(started)
--- a/woadyard/net/places.py
+++ b/woadyard/net/places.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Callable
 from typing import Any
 
 from woadyard.errors import PeerError
@@ -12,6 +10,7 @@
 from woadyard.net.state import Bans, endpoint_number
 from woadyard.net.turns import now_us
 from woadyard.net.upstream import Upstream
+from woadyard.net.wallclock import WallClock
 
 PHASES = {"ready": READY, "draining": DRAINING, "gone": GONE}
 # So many endpoints told away are remembered, the latest: no list is that old.
@@ -38,7 +37,7 @@
 
     def __init__(self, upstream: Upstream, bans: Bans, force: InForce) -> None:
         self.upstream, self.bans, self.force = upstream, bans, force
-        self.wall_us: Callable[[], int] = lambda: time.time_ns() // 1000
+        self.clock = WallClock()
         self.by_number: dict[int, Place] = {}
         self.left: dict[int, tuple[int, int]] = {}  # told away: by which version, and its start
 
@@ -120,8 +119,7 @@
         """Wall time of a start on the module's clock, which is monotonic."""
         if started_ms <= 0:
             return 0
-        boot = now_us() - (self.wall_us() - started_ms * 1000)
-        return boot or 1  # 0 would mean long ago
+        return self.clock.started(now_us(), started_ms * 1000) or 1  # 0 would mean long ago
 
     def _outdated(self, version: int, entry: Entry, place: Place) -> bool:
         """Guards drains: a list older than the one that told a process away does
