Give a list from before the start no lease where discovery is asked

Cause: a process that started trusted its list for 2.5 s, whatever the one before it had missed. The same class as the incident: a permission of unknown age. Change: such a process has no lease before discovery's first word, or before its one address refuses a connection; it waits for that, 3.5 s at most, before it listens, so fronts send their clients elsewhere.

--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -47,6 +47,14 @@
     writer.close()
 
 
+async def refused(port: int) -> None:
+    """At once: a retry elsewhere is harmless."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(request())
+    assert (await read_message(reader)).start.startswith("HTTP/1.1 503")
+    writer.close()
+
+
 async def end(process: Process) -> None:
     with contextlib.suppress(ProcessLookupError):  # it was ended by the test
         process.kill()
@@ -101,7 +109,11 @@
             process = await start(config(tmp_path, registry, endpoint, listen=f"127.0.0.1:{port}", **changes))
             stack.push_async_callback(end, process)
             await ready(port)
-        await served(port)
+        if discovery == "push" or how == "down":
+            await served(port)
+        else:  # a change may have bound by now: nothing is sent by the list from before the start
+            await refused(port)
+            assert not endpoint.got
 
 
 @on_loop
--- a/woadyard/__main__.py
+++ b/woadyard/__main__.py
@@ -262,7 +262,8 @@
         raise ConfigError(f"known: {error}") from None
     if config.known is not None:
         guard.prime(config.known["instances"])
-        if config.known["instances"]:
+        alone = seats is None or seats.alone  # one that takes over has a lease, and is owed a yes soon
+        if config.known["instances"] and (alone or discovery.pushed):
             await discovery.first()  # that list may be old, and newer ones bind from the start
     upstream.others, upstream.give_way = lambda: len(server.callers), server.give_way
     try:
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -31,6 +31,9 @@
 PUSHED_RETRY_S, PUSHED_RETRY_MOST_S = 0.1, 0.2
 # For as long a new process waits for it before it serves by the list that it started with.
 FIRST_LIST_S = 0.5
+# Where discovery is asked, a process that starts has no lease before the first list: it is not ready before,
+# but no later than this, as it has to be ready within 6 s.
+FIRST_ANSWER_S = 3.5
 # Past the kernel's first repeat of a lost SYN, 1 s on, and no longer: its next one comes
 # 3 s on, and two connections that hang and the waits between have to fit in those 4 s.
 CONNECT_S = 1.25
@@ -52,6 +55,7 @@
         self.listen, self.rng = listen, rng
         self._pace(pushed)
         self.told = asyncio.Event()  # a list, since the start
+        self.settled = asyncio.Event()  # that, or that nobody listens at its address
         self.on_failed: Callable[[], None] = lambda: None
         self.on_anew: Callable[[], None] = lambda: None  # generations count anew from the next list
         # What renews and ends the membership lease (woadyard/policy/lease.py).
@@ -120,10 +124,10 @@
             self.watch(True)
 
     async def first(self) -> None:
-        """Where lists are pushed: until the first has come, or `FIRST_LIST_S` are over."""
-        if self.pushed:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.told.wait(), FIRST_LIST_S)
+        """Until the first list has come, or it was waited for long enough."""
+        event, most_s = (self.told, FIRST_LIST_S) if self.pushed else (self.settled, FIRST_ANSWER_S)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(event.wait(), most_s)
 
     def watch(self, on: bool) -> None:
         if self.stream is not None:
@@ -161,6 +165,7 @@
         except ConnectionRefusedError:
             if len(self.replicas) == 1:  # another replica may be there
                 self.on_unreachable(stream.begun)
+                self.settled.set()
             stream.fail(CallEnd.REFUSED)
         except ConnectionResetError:
             stream.fail(CallEnd.RESET)
@@ -193,6 +198,7 @@
             self._take(name, told.reset, told.instances)
         self.moving, self.held.trusting = False, False
         self.told.set()
+        self.settled.set()
         if not told.following:
             return False
         if verdict == TAKE:
--- a/woadyard/policy/balancer.py
+++ b/woadyard/policy/balancer.py
@@ -45,7 +45,7 @@
 
     def start(self, now: int, alone: bool = True, heartbeats: bool = False) -> list[Action]:
         self.ctx.sends.began = self.ctx.served.began = now
-        self.ctx.lease.start(now, alone, heartbeats)
+        self.ctx.lease.start(now, alone, heartbeats, not self.s.asks_discovery)
         self.membership.backoff.start(alone)
         return self._taken(now)
 
--- a/woadyard/policy/lease.py
+++ b/woadyard/policy/lease.py
@@ -15,7 +15,8 @@
 # Reserve for heartbeats that are read late, and for a process held up between its clock and its write.
 MARGIN_US = 500_000
 LEASE_US, MOVE_LEASE_US = BINDING_US - MARGIN_US, MOVE_BINDING_US - MARGIN_US
-# A list from before the start is taken to be so old: the time that a restart may take.
+# Where lists are pushed, one from before the start is taken to be so old: the time that a restart may take.
+# Where discovery is asked it has no lease: the process before may have gone without word for any time.
 CACHED_AGE_US = 3_000_000
 # One that takes over is ready after 3 s at most without a list, and news binds 2 s after it said so.
 TAKE_OVER_LEASE_US = 4_500_000
@@ -35,10 +36,12 @@
         self.answers_count = True  # an endpoint's own answer may stand in for the list
         self.cap: float = inf  # no renewal without a list goes past this
 
-    def start(self, now: int, alone: bool, heartbeats: bool) -> None:
+    def start(self, now: int, alone: bool, heartbeats: bool, pushed: bool) -> None:
         """The process starts, by a list of unknown age, alone or beside the one that it takes over from."""
         self.heartbeats = heartbeats
-        cached = LEASE_US - CACHED_AGE_US if alone else TAKE_OVER_LEASE_US
+        cached = TAKE_OVER_LEASE_US
+        if alone:
+            cached = LEASE_US - CACHED_AGE_US if pushed else 0
         self.expires = now + cached if heartbeats else inf
 
     def confirm(self, now: int) -> None:
