--- a/tests/soak_judge.py
+++ b/tests/soak_judge.py
@@ -43,9 +43,10 @@
         if began < reached + BINDING_S and end > reached:
             reached = end
     bounds = [reached + BINDING_S, record.written.get((sidecar, endpoint), float("inf"))]
-    for at, watching in record.silences:  # what a silent watch misses binds by one moment
-        if sidecar in watching and at <= changed < at + BINDING_S:
-            bounds.append(at + BINDING_S)
+    for silence in record.silences:  # what a silent watch misses, as long as it is one, binds by one moment
+        missed = silence.began <= changed < min(silence.ended, silence.began + BINDING_S)
+        if sidecar in silence.watching and missed:
+            bounds.append(silence.began + BINDING_S)
     for at, moved in record.moves:
         reachable = all(end < at or began > at + MOVE_S for began, end in record.outages)
         if moved == sidecar and changed <= at and reachable:
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -62,6 +62,15 @@
     endpoint: str
 
 
+@dataclass
+class Silence:
+    """Watches that stay open and tell nothing, until they are reset or tell again."""
+
+    began: float
+    watching: set[str]  # the sidecars whose watches these are
+    ended: float = float("inf")
+
+
 @dataclass
 class Record:
     """All that the judge needs to know."""
@@ -70,7 +79,7 @@
     changes: dict[str, Change] = field(default_factory=dict)  # by endpoint: a name drains once
     written: dict[tuple[str, str], float] = field(default_factory=dict)  # to a sidecar, of an endpoint
     outages: list[tuple[float, float]] = field(default_factory=list)  # of discovery
-    silences: list[tuple[float, set[str]]] = field(default_factory=list)  # and whose watches were open
+    silences: list[Silence] = field(default_factory=list)
     moves: list[tuple[float, str]] = field(default_factory=list)  # of a sidecar to another address
 
 
@@ -103,7 +112,10 @@
     def turn(self, weather: Weather) -> None:
         now = time.monotonic()
         if weather is Weather.SILENT and self.weather is not Weather.SILENT:
-            self.record.silences.append((now, {door.sidecar for door in self.doors if door.watches}))
+            watching = {door.sidecar for door in self.doors if door.watches}
+            self.record.silences.append(Silence(now, watching))
+        if self.weather is Weather.SILENT and weather is not Weather.SILENT:
+            self._end_silence()
         if self.weather is Weather.DOWN:
             self.record.outages[-1] = (self.record.outages[-1][0], now)
         if weather is Weather.DOWN:
@@ -112,7 +124,13 @@
         if weather in (Weather.DOWN, Weather.CROWDED):
             self.reset_watches()
 
+    def _end_silence(self) -> None:
+        silence = self.record.silences[-1]
+        silence.ended = min(silence.ended, time.monotonic())
+
     def reset_watches(self) -> None:
+        if self.weather is Weather.SILENT:
+            self._end_silence()
         for door in self.doors:
             for writer in door.watches:
                 writer.transport.abort()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 
 from tests.soak import play
 from tests.soak_judge import Asked, binds_at, judge
-from tests.soak_world import Arrival, Change, Record
+from tests.soak_world import Arrival, Change, Record, Silence
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -63,3 +63,11 @@
     assert not judge(record, [late])
     record.arrivals = [arrival(13.7, deadline_ms=0)]
     assert [line.partition(":")[0] for line in judge(record, [late])] == ["drain"]
+
+
+def test_what_a_silent_watch_misses_binds_6_s_after_it_fell_silent_until_it_is_no_watch() -> None:
+    record = Record(changes={"s-0": Change(14.0, "s-0")}, silences=[Silence(10.0, {"n0"})])
+    assert binds_at(record, "n0", "s-0") == 16.0
+    assert binds_at(record, "n1", "s-0") == 20.0
+    record.silences[0].ended = 13.0
+    assert binds_at(record, "n0", "s-0") == 20.0
