End callers' connections in two guarded places only, close and cut

Change: Server.cut, with the same check, for all that breaks off at once; those three places and the late abort of a close use it.

--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -97,8 +97,9 @@
         assert checks.counts == {Rule.START: 2}
 
 
+@pytest.mark.parametrize("how", ["close", "cut"])
 @on_loop
-async def test_a_close_before_the_answer_is_counted_where_the_client_is_there() -> None:
+async def test_an_end_before_the_answer_is_counted_where_the_client_is_there(how: str) -> None:
     async def never(endpoint: Endpoint, message: Message, writer: Writer) -> None:
         pass
 
@@ -108,7 +109,7 @@
         writer.write(request())
         await endpoint.arrived.acquire()
         (caller,) = one.server.callers
-        one.server.close(caller)
+        getattr(one.server, how)(caller)
         assert one.driver.attempts.invariants.counts == {Rule.CLOSE: 1}
         writer.close()
 
--- a/woadyard/net/caller.py
+++ b/woadyard/net/caller.py
@@ -312,7 +312,7 @@
         if self.passing is not None:
             self.passing.source.pace(True)
         elif self.transport is not None and self.jam is None:
-            self.jam = self.loop.call_later(self.server.waits.relay_s, self.transport.abort)
+            self.jam = self.loop.call_later(self.server.waits.relay_s, self.server.cut, self)
 
     def resume_writing(self) -> None:
         self.clogged = False
@@ -382,7 +382,7 @@
             self.transport.write_eof()
         self.server.linger(self)
         waits = self.server.waits  # an answer that is read slowly has its time
-        self.loop.call_later(waits.linger_s if self.written else waits.relay_s, self.transport.abort)
+        self.loop.call_later(waits.linger_s if self.written else waits.relay_s, self.server.cut, self)
 
     @property
     def written(self) -> bool:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -136,8 +136,7 @@
             last = [one for one in latest if one.incoming.silent][-1]
             last.over = True
             del self.callers[last]
-            if last.transport is not None:
-                last.transport.abort()
+            self.cut(last)
 
     def _crowded(self) -> bool:
         both = len(self.callers) + len(self.driver.upstream.links)
@@ -240,17 +239,26 @@
     def linger(self, caller: Caller) -> None:
         self.lingering[caller] = self.driver.loop.time()
 
-    def close(self, caller: Caller) -> None:
-        """The one place that ends a connection of a caller for good order."""
+    def _check_owed(self, caller: Caller) -> None:
         if caller.presence is not None and not caller.presence.has_left():
             self.driver.attempts.invariants.closed(caller.call)
+
+    def cut(self, caller: Caller) -> None:
+        """Break a connection off at once, whatever is unwritten."""
+        self._check_owed(caller)
+        if caller.transport is not None:
+            caller.transport.abort()
+
+    def close(self, caller: Caller) -> None:
+        """End a connection once all that was answered is written; no caller's ends but here and by `cut`."""
+        self._check_owed(caller)
         self.resting.pop(caller, None)
         self.lingering.pop(caller, None)
         caller.over = True
         if caller.transport is not None:
             caller.transport.close()
             if caller.transport.get_write_buffer_size():  # who never reads would stay for good
-                self.driver.loop.call_later(self.waits.relay_s, caller.transport.abort)
+                self.driver.loop.call_later(self.waits.relay_s, self.cut, caller)
 
     def _stop_listening(self, least: float) -> None:
         loop = self.driver.loop
