--- a/woadyard/whatif/controller.py
+++ b/woadyard/whatif/controller.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import os
 import random
 import sys
 import tempfile
@@ -136,8 +137,10 @@
             request = {"weights": plan.weights, "rules": msgspec.to_builtins(rules)}
             (Path(folder) / "ask.json").write_bytes(msgspec.json.encode(request))
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "woadyard.whatif", folder, stdout=asyncio.subprocess.PIPE
-            )
+                sys.executable, "-m", "woadyard.whatif", folder,
+                stdout=asyncio.subprocess.PIPE,
+                env={**os.environ, "TMPDIR": folder},  # a killed study leaves its files there
+            )  # fmt: skip
             try:
                 async with asyncio.timeout(self.settings.study_s):
                     output, _ = await process.communicate()
