--- a/tests/lab.py
+++ b/tests/lab.py
@@ -23,7 +23,16 @@
 
 import aiohttp
 
-from tests.sockets import SETTINGS, Endpoint, Handler, Message, http_request, read_message, serve_ok
+from tests.sockets import (
+    LOOPBACK_HOST,
+    SETTINGS,
+    Endpoint,
+    Handler,
+    Message,
+    http_request,
+    read_message,
+    serve_ok,
+)
 from woadyard.standins import FaultProxy, StandIn, manner
 
 POLL_INTERVAL_S = 0.02
@@ -176,7 +185,9 @@
         return target
     if isinstance(target, Sequence):
         return ",".join(address(each) for each in target)
-    return f"127.0.0.1:{target if isinstance(target, int) else target.port}"
+    if isinstance(target, int):
+        return f"127.0.0.1:{target}"
+    return f"{getattr(target, 'host', '127.0.0.1')}:{target.port}"
 
 
 def list_entries(endpoints: Sequence[Any]) -> list[dict[str, Any]]:
@@ -249,12 +260,13 @@
         return program
 
     async def proxy(self, target: Any, **options: Any) -> FaultProxy:
-        proxy = FaultProxy(target if isinstance(target, int) else target.port, **options)
+        target_host, _, target_port = address(target).rpartition(":")
+        proxy = FaultProxy(int(target_port), **{"target_host": target_host, **options})
         await proxy.start()
         self.proxies.append(proxy)
         return proxy
 
-    async def endpoint(self, handler: Handler = serve_ok, host: str = "127.0.0.1") -> Endpoint:
+    async def endpoint(self, handler: Handler = serve_ok, host: str = LOOPBACK_HOST) -> Endpoint:
         """Starts an endpoint in the test's process that answers by `handler` and records the requests."""
         endpoint = Endpoint(handler)
         endpoint.host = host
--- a/tests/process.py
+++ b/tests/process.py
@@ -15,8 +15,10 @@
 
 
 class HasPort(Protocol):
-    """A server, by its port."""
+    """A server, by its address."""
 
+    @property
+    def host(self) -> str: ...
     @property
     def port(self) -> int: ...
 
@@ -26,7 +28,8 @@
 ) -> dict[str, str]:
     """Write a configuration file with these changes; return the environment that names it."""
     raw = {
-        "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{registry.port}", "seed": "8c1f",
+        "name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f",
+        "discovery": f"{registry.host}:{registry.port}",
         "limits": {"sockets": 1024}, "settings": SETTINGS,
         "known": {"generation": 1, "reset": True, "instances": [endpoint.entry() for endpoint in endpoints]},
         **changes,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,7 +24,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.lab import Lab, Program
+from tests.lab import Lab, Program, address
 from tests.soak_judge import SentRequest, find_violations
 from tests.soak_world import Directory, DiscoveryFault, DiscoveryListener, EndpointFault, Record, SoakEndpoint
 from tests.sockets import SETTINGS, http_request, read_message
@@ -195,9 +195,8 @@
             return
         with self._under_fault(sidecar, is_down=False):
             raw = json.loads(sidecar.config.read_text())
-            ports = [listener.port for listener in sidecar.discovery_listeners]
-            current_port = int(raw["discovery"].rpartition(":")[2])
-            raw["discovery"] = f"127.0.0.1:{ports[1 - ports.index(current_port)]}"
+            addresses = [address(listener) for listener in sidecar.discovery_listeners]
+            raw["discovery"] = addresses[1 - addresses.index(raw["discovery"])]
             sidecar.config.write_text(json.dumps(raw))
             sidecar.program.signal_process(signal.SIGHUP)
             self.record.moves.append((time.monotonic(), sidecar.program.name))
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -196,7 +196,7 @@
 
     def entry(self) -> dict[str, Any]:
         return {
-            "instanceId": self.name, "hostPort": f"127.0.0.1:{self.port}", "zone": "here",
+            "instanceId": self.name, "hostPort": f"{self.host}:{self.port}", "zone": "here",
             "machineType": "small", "cell": 1, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0,
         }  # fmt: skip
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -6,6 +6,7 @@
 import contextlib
 import functools
 import json
+import os
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
@@ -38,6 +39,18 @@
     "zones": ["here"], "kinds": ["small"], "discovery": "push", "stage": 1,
 }  # fmt: skip
 
+
+def loopback_host(process_id: int) -> str:
+    """A loopback address for the servers of one test process.
+
+    Other processes may run tests at the same time, and the system gives a closed server's port to
+    the next one: with one address for all, their sidecars would send requests here.
+    """
+    return f"127.{1 + (process_id >> 16) % 250}.{process_id >> 8 & 255}.{process_id & 255}"
+
+
+LOOPBACK_HOST = loopback_host(os.getpid())
+
 Reader = asyncio.StreamReader
 Writer = asyncio.StreamWriter
 LARGE_BODY = bytes(range(256)) * 4096  # 1 MiB
@@ -120,7 +133,7 @@
 class LoopbackServer:
     """Serves connections on a port that the system assigns."""
 
-    host = "127.0.0.1"
+    host = LOOPBACK_HOST
     port: int = 0
 
     async def start(self, port: int = 0) -> asyncio.Server:
@@ -157,8 +170,9 @@
     def entry(self, name: str = "s-1", **changes: Any) -> dict[str, Any]:
         """The discovery list's entry for this endpoint."""
         return {
-            "instanceId": name, "hostPort": f"127.0.0.1:{self.port}", "zone": "here", "machineType": "small",
-            "cell": 1, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0, **changes,
+            "instanceId": name, "hostPort": f"{self.host}:{self.port}", "zone": "here",
+            "machineType": "small", "cell": 1, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0,
+            **changes,
         }  # fmt: skip
 
 
@@ -248,7 +262,7 @@
         if discovery_server is not None:
             listener = await discovery_server.start()
             stack.callback(listener.close)
-            address = f"127.0.0.1:{discovery_server.port}"
+            address = f"{discovery_server.host}:{discovery_server.port}"
             driver.discovery = Discovery(
                 loop, address, "/registry/instances", True, driver.apply_list, random.Random(1)
             )
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -105,7 +105,7 @@
         writer.write(http_response(200, response))
 
     registry = await lab.service()
-    await register_peer(lab, registry, "n9@1", (await lab.endpoint(respond_invalid)).port)
+    await register_peer(lab, registry, "n9@1", (await lab.endpoint(respond_invalid, host="127.0.0.1")).port)
     sidecar, _, gossip_port = await start_sharing_sidecar(
         lab, "n0", registry, [*(await start_endpoints(lab, "bad1")).values()]
     )
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -156,6 +156,7 @@
 
     async def main() -> None:
         fake_discovery = FakeDiscovery()
+        fake_discovery.host = "127.0.0.1"
         async with await fake_discovery.start():
             watcher = Watcher(fake_discovery.port, 1, 0)
             _, feed = await fake_discovery.watches.get()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -121,7 +121,7 @@
     changes = {"settings": {**SETTINGS, "discovery": discovery}}
     async with await old.start(), await new.start():
         environ = {**sidecar_environ(tmp_path, old, **changes), "LB_LISTEN": f"127.0.0.1:{free_port()}"}
-        environ["LB_DISCOVERY"] = f"127.0.0.1:{old.port}"
+        environ["LB_DISCOVERY"] = f"{old.host}:{old.port}"
         process = await start_sidecar(environ)
         assert process.stderr is not None
         start_line, watch = await old.watches.get()
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -86,13 +86,13 @@
         return
     with contextlib.ExitStack() as stack:  # its accept queue is full: no connection is established
         listening = stack.enter_context(socket.socket())
-        listening.bind(("127.0.0.1", 0))
+        listening.bind((listener.host, 0))
         listening.listen(0)
         listener.port = listening.getsockname()[1]
         for _ in range(4):
             client = stack.enter_context(socket.socket())
             client.setblocking(False)
-            client.connect_ex(("127.0.0.1", listener.port))
+            client.connect_ex((listener.host, listener.port))
         yield listener
 
 
