Give out an experiment's latest decision for that experiment alone

An operator who showed or stopped a second experiment before its first look at the evidence got, and had recorded, the first one's interval. Cause: the controller's latest decision belonged to no experiment and was never reset. Now it is kept with its experiment, and a stop without a look records the interval that says nothing, (-1, 1), as in a new process.

The new test of tests/test_experiment_controller.py failed before at the shown look ((-0.317, 0.289) in place of none) and, with that line taken out on a scratch copy, at the recorded interval.

--- a/tests/test_experiment_controller.py
+++ b/tests/test_experiment_controller.py
@@ -3,11 +3,15 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import numpy as np
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
 
 from woadyard.experiment.controller import ExperimentController
 from woadyard.experiment.experiment import Experiment
+from woadyard.experiment.service import PATH, ExperimentsApi
 from woadyard.experiment.state_machine import ExperimentsState
 from woadyard.experiment.states import State
 from woadyard.registry.log import Journal
@@ -119,3 +123,43 @@
     second_experiment = leader.registry.state_machine(ExperimentsState).experiments["two"]
     leader.controller.step(second_experiment)
     assert second_experiment.state is State.EXPIRED
+
+
+class LeaderWithApi(LeaderProcess):
+    """A leader whose controller belongs to the HTTP calls."""
+
+    def __init__(self, folder: Path) -> None:
+        self.now_us = [1000 * SECOND_US]
+        self.registry = Registry(Journal(folder), clock_us=lambda: self.now_us[0])
+        self.registry.become_leader()
+        self.api = ExperimentsApi(self.registry)
+        self.controller = self.api.controller
+
+
+# Guards against a second experiment that is stopped, or shown, with the first one's interval.
+@pytest.mark.asyncio
+async def test_an_experiment_without_an_analysis_has_no_interval_of_an_earlier_one(tmp_path: Path) -> None:
+    leader = LeaderWithApi(tmp_path)
+    api = leader.api
+
+    def request(method: str, name: str, step: str = "") -> web.Request:
+        return make_mocked_request(method, f"{PATH}/{name}{step}", match_info={"name": name})
+
+    leader.append("draft", draft=DRAFT)
+    leader.append("start")
+    leader.add_evidence(5, 0.8)
+    api.controller.step(leader.experiment)
+    await api.stop(request("POST", "one", "/stop"))
+    first_decision = leader.experiment.decision
+    assert first_decision is not None and first_decision.interval != (-1.0, 1.0)
+    api.controller.step(leader.experiment)
+    leader.append("close")
+    leader.registry.append_entry({"book": "experiments", "op": "draft", "name": "two", "draft": DRAFT})
+    leader.registry.append_entry({"book": "experiments", "op": "start", "name": "two"})
+
+    shown = await api.get_experiment(request("GET", "two"))
+    assert isinstance(shown, web.Response) and isinstance(shown.body, bytes)
+    assert msgspec.json.decode(shown.body)["look"] is None
+    await api.stop(request("POST", "two", "/stop"))
+    second_decision = leader.registry.state_machine(ExperimentsState).experiments["two"].decision
+    assert second_decision is not None and second_decision.interval == (-1.0, 1.0)
--- a/woadyard/experiment/controller.py
+++ b/woadyard/experiment/controller.py
@@ -11,6 +11,7 @@
 import contextlib
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -75,6 +76,14 @@
             self.consumed_sums[key] = new_sums
 
 
+@dataclass(frozen=True)
+class Analyzed:
+    """An experiment and the decision of the latest look at its evidence."""
+
+    experiment: Experiment
+    decision: Decision
+
+
 class ExperimentController:
     """Takes the active experiment of one registry through its states.
 
@@ -86,7 +95,7 @@
     ) -> None:
         self.registry, self.missing_share, self.sidecars_behind = registry, missing_share, sidecars_behind
         self.analysis: InterimAnalysis | None = None
-        self.latest_decision: Decision | None = None
+        self.latest: Analyzed | None = None
         self.task: asyncio.Task[None] | None = None
         self.decisions_counter = Counter(
             "registry_experiments_decided",
@@ -99,6 +108,12 @@
     def experiments_state(self) -> ExperimentsState:
         return self.registry.state_machine(ExperimentsState)
 
+    def latest_decision(self, experiment: Experiment) -> Decision | None:
+        """Return the decision of the latest look at this experiment's evidence; None before the first."""
+        if self.latest is None or self.latest.experiment is not experiment:
+            return None
+        return self.latest.decision
+
     def ensure_running(self) -> None:
         """Start the task if there is an experiment in progress and the task isn't running."""
         if self._experiment_in_progress() and (self.task is None or self.task.done()):
@@ -135,7 +150,7 @@
         if self.analysis is None or self.analysis.experiment is not experiment:
             self.analysis = InterimAnalysis(experiment)
         decision = self.analysis.analyze(self.registry.clock_us() // 1000, self.missing_share())
-        self.latest_decision = decision
+        self.latest = Analyzed(experiment, decision)
         if decision.is_final:
             self.commit_decision(experiment, decision)
 
--- a/woadyard/experiment/service.py
+++ b/woadyard/experiment/service.py
@@ -118,7 +118,7 @@
     async def get_experiment(self, request: web.Request) -> web.StreamResponse:
         experiment = self._find_experiment(request)
         is_active = experiment is self.experiments_state.active
-        last_look = self.controller.latest_decision if is_active else None
+        last_look = self.controller.latest_decision(experiment) if is_active else None
         not_applied = self.sidecars_behind(self.experiments_state.revision) if is_active else []
         return json_response(
             {
@@ -145,7 +145,7 @@
     async def stop(self, request: web.Request) -> web.StreamResponse:
         reason, experiment = read_query(request, StopRequest).why, self._find_experiment(request)
         now_s = self.registry.clock_us() / 1e6
-        last_look = self.controller.latest_decision
+        last_look = self.controller.latest_decision(experiment)
         interval = last_look.interval if last_look is not None else (-1.0, 1.0)
         self.controller.commit_decision(experiment, Decision(State.STOPPED, None, interval, reason, now_s))
         return json_response(experiment.summary())
