--- a/benchmarks/whatif_fidelity.py
+++ b/benchmarks/whatif_fidelity.py
@@ -136,6 +136,8 @@
 
 
 class Sidecar:
+    """A sidecar on this process's loop, with its own list of endpoints and recordings."""
+
     def __init__(self, number: int, entries: list[dict[str, Any]], seed: int) -> None:
         self.number, self.entries, self.seed = number, entries, seed
         self.raw = settings(number)
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests of the package, and the helpers that they share."""
