--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -6,6 +6,7 @@
 import ctypes
 import json
 import os
+import secrets
 import shutil
 import signal
 import socket
@@ -126,7 +127,7 @@
         port, console = free_port(), free_port()
         raw = {
             "name": name, "listen": f"127.0.0.1:{port}", "console": f"127.0.0.1:{console}",
-            "discovery": discovery, "seed": "8c1f30d27a5be964",
+            "discovery": discovery, "seed": secrets.token_hex(8),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "settings": settings or SETTINGS, **sections,
         }  # fmt: skip
@@ -137,6 +138,12 @@
         await self.until(lambda: self.answers(console, "/_ready"), f"{name} is ready")
         return program
 
+    def set_known(self, sidecar: Program, known: Any) -> None:
+        """Write the list that the sidecar last held and a new seed into its file, as for a restart."""
+        path = self.scratch / f"{sidecar.name}.json"
+        raw = {**json.loads(path.read_text()), "known": known, "seed": secrets.token_hex(8)}
+        path.write_text(json.dumps(raw))
+
     async def answers(self, port: int, path: str) -> bool:
         try:
             return (await call(port, "GET", path)).status == 200
@@ -220,7 +227,7 @@
         case.record("verdict", line=line)
         print(line)
     word = {HELD: "held", BROKEN: "broken", NOT_RUN: "could not run"}[status]
-    case.record("end", status=status, trouble=case.trouble)
-    print(f"{word}, trouble {'on' if case.trouble else 'off'}")
+    case.record("end", status=status, findings=len(broken), trouble=case.trouble)
+    print(f"{word}, {len(broken)} findings, trouble {'on' if case.trouble else 'off'}")
     case.end()
     sys.exit(status)
