Count heartbeats by whether they renew the lease, and log those that do not

Neither log nor metrics told apart: no watch at the new address, a silent one, a list that is rejected, or heartbeats that renew nothing. The log's last line was `reloaded`.

Change: `woadyard_discovery_heartbeats_total{renewed="yes|no"}`, and one warning until a list is accepted: `heartbeats renew no lease: the watch did not send the current list`, with the replica's address. No behaviour of the lease is changed.

--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -20,7 +20,7 @@
     status_503,
 )
 from woadyard.interface import LIST_CACHED, LIST_FAILED, LIST_FULL, MOOT, OK, Arrival, Outcome, Refuse
-from woadyard.net.discovery import Discovery
+from woadyard.net.discovery import UNCONFIRMED_MESSAGE, Discovery
 from woadyard.net.list_stream import Stream, StreamFailure
 from woadyard.policy import Balancer
 from woadyard.policy.lease import (
@@ -203,7 +203,9 @@
     assert expires_s(sidecar) == before
 
 
-def test_heartbeats_before_the_list_renew_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_heartbeats_before_the_list_renew_nothing(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
     sidecar = SimulatedSidecar(monkeypatch, 3.0)
     open_watch(sidecar)
     before = expires_s(sidecar)
@@ -215,6 +217,8 @@
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + HEARTBEAT
     )
     assert expires_s(sidecar) == before
+    sidecar.discovery.stream.data_received(HEARTBEAT)
+    assert caplog.messages.count(UNCONFIRMED_MESSAGE) == 1, "logged, once"
 
 
 @pytest.mark.parametrize("period_s", [0.0, 3.0, 10.0])
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -40,6 +40,7 @@
 CONNECT_TIMEOUT_S = 1.25
 LOG = logging.getLogger(__name__)
 LOST_MESSAGE = "discovery lost, keeping the last list"
+UNCONFIRMED_MESSAGE = "heartbeats renew no lease: the watch did not send the current list"
 
 
 class Discovery:
@@ -67,6 +68,7 @@
         )  # before a list of another term or lineage
         # These renew and end the membership lease (woadyard/policy/lease.py).
         self.on_confirmed: Callable[[], None] = lambda: None
+        self.on_heartbeat: Callable[[bool], None] = lambda renews_lease: None
         self.on_silent: Callable[[], None] = lambda: None
         self.on_moved: Callable[[], None] = lambda: None
         self.on_unreachable: Callable[[float], None] = lambda since_s: None  # the connection was refused
@@ -77,6 +79,7 @@
         self.connect_tasks: set[asyncio.Task[None]] = set()
         self.is_moving = False  # to an address that has not sent a list yet
         self.is_lost = False  # an outage was logged and has not ended
+        self.is_unconfirmed = False  # heartbeats that renew no lease were logged
         self.is_closed = False
         self._set_addresses(addresses)
 
@@ -218,7 +221,8 @@
         if not message.following:
             return False
         if decision == TAKE:
-            self.confirm()
+            self.is_unconfirmed = False
+            self.on_confirmed()
         self.backoff.reset()
         if self.is_lost:
             self.is_lost = False
@@ -232,9 +236,15 @@
         self.on_list(version.generation, is_full, entries)
         self.current.replace(version, self.loop.time())
 
-    def confirm(self) -> None:
-        """Report that the current list is still the latest."""
-        self.on_confirmed()
+    def heartbeat_received(self, stream: Stream) -> None:
+        """Renew the lease by a heartbeat of a watch, if the current list came on that watch."""
+        self.on_heartbeat(stream.confirms_current)
+        if stream.confirms_current:
+            self.on_confirmed()
+        elif not self.is_unconfirmed:
+            self.is_unconfirmed = True
+            fields = {"at": self.address, "version": self.generation}
+            LOG.warning(UNCONFIRMED_MESSAGE, extra=fields)
 
     def stream_failed(self, stream: Stream) -> None:
         """Log the failure and retry at the next replica, or leave the retry to the policy."""
--- a/woadyard/net/list_stream.py
+++ b/woadyard/net/list_stream.py
@@ -41,7 +41,7 @@
     @property
     def address(self) -> str: ...
     def receive(self, message: ListMessage) -> bool: ...
-    def confirm(self) -> None: ...
+    def heartbeat_received(self, stream: Stream) -> None: ...
     def stream_failed(self, stream: Stream) -> None: ...
 
 
@@ -86,12 +86,8 @@
             # Bytes that trickle in without ever completing a list are not progress.
             if self.decoder.progress_count > progress_before:
                 self.last_progress_s = self.owner.loop.time()
-            if (
-                self.confirms_current
-                and not self.is_done
-                and self.decoder.heartbeat_count > heartbeats_before
-            ):
-                self.owner.confirm()
+            if not self.is_done and self.decoder.heartbeat_count > heartbeats_before:
+                self.owner.heartbeat_received(self)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail_malformed(PeerError(f"invalid HTTP response: {error}"))
         except PeerError as error:
--- a/woadyard/ops/metrics.py
+++ b/woadyard/ops/metrics.py
@@ -49,6 +49,9 @@
     def list_received(self, mode: int, version: int) -> None:
         """Count a list from discovery, or its failure, and set the version in force."""
 
+    def heartbeat_received(self, renews_lease: bool) -> None:
+        """Count a heartbeat of discovery's watch, by whether it renewed the membership lease."""
+
     def set_held_endpoints(self, count: int) -> None:
         """Set the number of endpoints that lists lost and the panic threshold holds back."""
 
@@ -113,7 +116,11 @@
         lists = Counter("woadyard_lists", "Lists from discovery, by kind", ["kind"], registry=registry)
         self.lists = {mode: lists.labels(name) for mode, name in LISTS.items()}
         self.list_version = Gauge("woadyard_list_version", "Version of the list in force", registry=registry)
-
+        heartbeats = Counter(
+            "woadyard_discovery_heartbeats", "Heartbeats of the watch, by whether they renewed the lease",
+            ["renewed"], registry=registry,
+        )  # fmt: skip
+        self.heartbeats = {True: heartbeats.labels("yes"), False: heartbeats.labels("no")}
         self.held_endpoints = Gauge(
             "woadyard_list_held", "Endpoints lost by the list and held back", registry=registry
         )
@@ -170,6 +177,9 @@
         if mode != LIST_FAILED:
             self.list_version.set(version)
 
+    def heartbeat_received(self, renews_lease: bool) -> None:
+        self.heartbeats[renews_lease].inc()
+
     def set_held_endpoints(self, count: int) -> None:
         self.held_endpoints.set(count)
 
