Warn of heartbeats that renew nothing only once the lease has run out

A crowded discovery may send heartbeats first, too, which is no fault of its own.

Change: the warning comes once a watch has been open for 5 s without the current list: the lease of 5.5 s is then about to end, or has.

--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -217,7 +217,9 @@
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + HEARTBEAT
     )
     assert expires_s(sidecar) == before
-    sidecar.discovery.stream.data_received(HEARTBEAT)
+    for _ in range(4):
+        sidecar.advance_to(sidecar.now + 2.0)
+        sidecar.discovery.stream.data_received(HEARTBEAT)
     assert caplog.messages.count(UNCONFIRMED_MESSAGE) == 1, "logged, once"
 
 
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -38,6 +38,8 @@
 # follows 3 s later, and two connects that time out plus their delays must fit into the 4 s for a new
 # address.
 CONNECT_TIMEOUT_S = 1.25
+# A watch without the current list for this long lets the membership lease expire.
+UNCONFIRMED_WARNING_S = 5.0
 LOG = logging.getLogger(__name__)
 LOST_MESSAGE = "discovery lost, keeping the last list"
 UNCONFIRMED_MESSAGE = "heartbeats renew no lease: the watch did not send the current list"
@@ -241,7 +243,7 @@
         self.on_heartbeat(stream.confirms_current)
         if stream.confirms_current:
             self.on_confirmed()
-        elif not self.is_unconfirmed:
+        elif not self.is_unconfirmed and self.loop.time() - stream.started_at_s >= UNCONFIRMED_WARNING_S:
             self.is_unconfirmed = True
             fields = {"at": self.address, "version": self.generation}
             LOG.warning(UNCONFIRMED_MESSAGE, extra=fields)
