Do not take the end of a watch for a heartbeat that renews the lease

A watch that falls silent, misses a change and is closed in order 2 s later let a sidecar send for up to 7.5 s after the change, which binds after 6 s (PROTOCOL).

Cause: Stream.connection_lost fed a line break to the decoder through data_received, so that a list without a length is decoded at the end of its connection. The empty line that this gives between lists counted as a heartbeat, and the lease was renewed at the moment discovery closed.

Evidence: the warning for heartbeats that renew nothing appeared in a test whose discovery sends no heartbeat, only where it closes the watch.

Change: Stream._process_last_line decodes what the end completes; heartbeats come of received bytes alone. Why it works: no other path calls the owner for a heartbeat.

Test: test_the_end_of_a_watch_renews_nothing failed before (the lease ended at 7.25 s in place of 6.25 s); tests/test_lease.py, test_discovery.py, test_discovery_failures.py pass.

--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -203,6 +203,16 @@
     assert expires_s(sidecar) == before
 
 
+def test_the_end_of_a_watch_renews_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against sends on a list that changed before discovery closed the watch instead of sending it.
+    sidecar = SimulatedSidecar(monkeypatch, 3.0)
+    stream = open_watch(sidecar)
+    before = expires_s(sidecar)
+    sidecar.advance_to(sidecar.now + 1.0)
+    stream.connection_lost(None)
+    assert expires_s(sidecar) == before
+
+
 def test_heartbeats_before_the_list_renew_nothing(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/woadyard/net/list_stream.py
+++ b/woadyard/net/list_stream.py
@@ -78,20 +78,25 @@
             return
         progress_before, heartbeats_before = self.decoder.progress_count, self.decoder.heartbeat_count
         try:
-            if data:
-                self.parser.feed_data(data)
-            else:
-                self.decoder.feed(b"\n")
+            self.parser.feed_data(data)
             self._process_response()
-            # Bytes that trickle in without ever completing a list are not progress.
-            if self.decoder.progress_count > progress_before:
-                self.last_progress_s = self.owner.loop.time()
-            if not self.is_done and self.decoder.heartbeat_count > heartbeats_before:
-                self.owner.heartbeat_received(self)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail_malformed(PeerError(f"invalid HTTP response: {error}"))
         except PeerError as error:
             self._fail_malformed(error)
+        # Bytes that trickle in without ever completing a list are not progress.
+        if self.decoder.progress_count > progress_before:
+            self.last_progress_s = self.owner.loop.time()
+        if not self.is_done and self.decoder.heartbeat_count > heartbeats_before:
+            self.owner.heartbeat_received(self)
+
+    def _process_last_line(self) -> None:
+        """Decode what the end of the connection completes; that end is no heartbeat."""
+        try:
+            self.decoder.feed(b"\n")
+            self._process_response()
+        except PeerError as error:
+            self._fail_malformed(error)
 
     def _fail_malformed(self, error: PeerError) -> None:
         LOG.warning("bad line from discovery", extra={**error.fields(), "at": self.owner.address})
@@ -143,5 +148,5 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         if exc is None and self.status == 200 and not self.is_done:
-            self.data_received(b"")  # a response without a length ends with the connection
+            self._process_last_line()  # a response without a length ends with the connection
         self.fail(StreamFailure.RESET if exc is not None else StreamFailure.CLOSED)
