Send the list's position first on each watch, so that an unchanged list is confirmed

Cause: PROTOCOL: "The first object holds either what changed after that version or the whole list." The list service sent an empty line in its place on a watch that resumes at the version in force (EndpointListHandlers._encode_changes). A sidecar renews its lease by an empty line only after the current list came on the same watch, as heartbeats may precede the list, so nothing renewed it.

Evidence: a raw watch at the version in force got a head and empty lines; the sidecar counted 12 heartbeats with renewed="no", none with "yes", no list and one open connection in 23 s. Ruled out: no watch, a silent watch, a rejected list, admission control.

Change: the service sends an object whenever its (term, version) is not that of the watch's last object, an empty line otherwise. Why it works: the object is the current list to the sidecar, which renews the lease and makes the heartbeats after it count; the sidecar's own rule is unchanged, and sidecars of earlier builds recover too.

--- a/woadyard/lists/service.py
+++ b/woadyard/lists/service.py
@@ -5,8 +5,10 @@
 - `GET /registry/instances?index=N&wait=S`: a long poll. The same response once the version is
   greater than N, or after S seconds (at most `MAX_WAIT_S`); at once if `term=T` is another term.
 - `GET /registry/instances?watch=1&from=N&term=T&lineage=L`: a watch, as in the discovery protocol.
-  A chunked response with a line for each change, and an empty line every `HEARTBEAT_S` while nothing
-  changes. The first line is the full list if N of term T is not in this list's history, or too old.
+  A chunked response whose first line is an object: the changes since N of term T, none if N is the
+  current version, or the full list if that is not in this list's history, or too old. Then a line
+  for each change, and an empty line every `HEARTBEAT_S` while nothing changes. An empty line
+  confirms the position of the last object of this watch, so a client relies on it only after one.
 - `PUT /registry/instances/ID?ttl_ms=T`: register or replace the entry (the body) with a lease of
   T ms; `POST /registry/instances/ID/renew`; `DELETE .../ID`.
 
@@ -23,13 +25,15 @@
 import msgspec
 from aiohttp import web
 
-from woadyard.lists.state import DROP, PUT, RENEW, EndpointListState
+from woadyard.lists.state import DROP, PUT, RENEW, EndpointListState, ListPosition
 from woadyard.registry.responses import json_response, leader_only, read_body, read_query
 from woadyard.registry.service import Registry
 from woadyard.registry.state_machine import LogEntry
 
 INSTANCES_PATH = "/registry/instances"
 HEARTBEAT_S, MAX_WAIT_S = 2.0, 60.0
+HEARTBEAT_LINE = b"\n"
+UNKNOWN_TERM = -1  # no list has it, so a watch from there gets the full list
 
 
 class ListQuery(msgspec.Struct, rename={"since": "from"}):
@@ -103,35 +107,35 @@
         response = web.StreamResponse(headers={"Content-Type": "application/json"})
         response.enable_chunked_encoding()
         await response.prepare(request)
-        position = (
-            (list_query.term, list_query.since)
-            if list_query.lineage == self.registry.log_state.lineage
-            else (-1, list_query.since)
-        )
+        requested = self._requested_position(list_query)
+        sent: ListPosition | None = None  # of the last object
         while True:
-            endpoint_list, is_outdated = self.endpoint_list, self.registry.may_be_outdated
-            line = self._encode_changes(*position)
-            position = endpoint_list.term, endpoint_list.version
+            position, is_outdated = self.endpoint_list.position, self.registry.may_be_outdated
+            if position != sent or is_outdated:
+                line = self._encode_changes(sent or requested)
+            else:
+                line = HEARTBEAT_LINE
+            sent = position
             # Blocks while the client does not read; the client then gets the merged changes, and
             # none of them are buffered for it.
             await response.write(line)
             if is_outdated:
                 return response
-            if (
-                self.endpoint_list.term,
-                self.endpoint_list.version,
-            ) == position and not self.registry.may_be_outdated:
+            if self.endpoint_list.position == sent and not self.registry.may_be_outdated:
                 await self.registry.waiters.wait_for_notification(EndpointListState.name, HEARTBEAT_S)
 
-    def _encode_changes(self, term: int, version: int) -> bytes:
-        """Return the line for a watch at (term, version): the changes since, or an empty line."""
+    def _requested_position(self, list_query: ListQuery) -> ListPosition:
+        """Return the position that a watch resumes from, one of no history for another lineage."""
+        is_same_lineage = list_query.lineage == self.registry.log_state.lineage
+        return ListPosition(list_query.term if is_same_lineage else UNKNOWN_TERM, list_query.since)
+
+    def _encode_changes(self, since: ListPosition) -> bytes:
+        """Return the line with the changes since a position, which may be none, or the full list."""
         endpoint_list, is_outdated = self.endpoint_list, self.registry.may_be_outdated
-        key = (term, version, endpoint_list, endpoint_list.term, endpoint_list.version, is_outdated)
+        key = (since, endpoint_list, endpoint_list.position, is_outdated)
         if self.last_line[0] != key:
-            changes, line = endpoint_list.changes_since(term, version), b"\n"
-            if changes["instances"] or changes["reset"] or is_outdated:
-                line = msgspec.json.encode(self._add_position(changes)) + b"\n"
-            self.last_line = key, line
+            changes = endpoint_list.changes_since(*since)
+            self.last_line = key, msgspec.json.encode(self._add_position(changes)) + b"\n"
         return self.last_line[1]
 
     async def put(self, request: web.Request) -> web.StreamResponse:
--- a/woadyard/lists/state.py
+++ b/woadyard/lists/state.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Any
+from typing import Any, NamedTuple
 
 from woadyard.errors import LogEntryError
 from woadyard.registry.state_machine import LogEntry
@@ -25,6 +25,13 @@
 Instance = dict[str, Any]
 
 
+class ListPosition(NamedTuple):
+    """Where a reader is in the history of one lineage's list."""
+
+    term: int
+    version: int
+
+
 class EndpointListState:
     """The endpoints by `instanceId`, in discovery's format, each with the expiry of its lease.
 
@@ -45,6 +52,11 @@
         """The term of the current version."""
         return self.term_starts[-1][0]
 
+    @property
+    def position(self) -> ListPosition:
+        """The term and the version of the current list."""
+        return ListPosition(self.term, self.version)
+
     def check(self, entry: LogEntry) -> None:
         op = entry.get("op")
         if op == PUT:
