Fetch the whole list once a watch ends by a delta of another lineage

Callers saw: nothing in service so far. After SIGHUP moves a sidecar from the project's list service to a discovery that sends no lineages and has the sidecar's generation in its history, every request is refused from 3.5 s on, until that discovery answers with a whole list.

Cause: the new discovery answers a watch with a delta, which has to be rejected, as it belongs to a list that the sidecar does not have; each next watch resumed from the same position and got the same delta again.

Change: a watch that ends by a delta of another lineage is followed by one fetch of the whole list.

Evidence and test: test_whole_list_is_fetched_after_a_move_to_a_discovery_without_lineages ran into its time limit before, with one watch after another and no other call, and passes now.

--- a/tests/test_endpoint_lists.py
+++ b/tests/test_endpoint_lists.py
@@ -136,6 +136,26 @@
         assert list(running.driver.balancer.endpoints) == [endpoint_number("s-9")]
 
 
+@on_loop
+async def test_whole_list_is_fetched_after_a_move_to_a_discovery_without_lineages() -> None:
+    # Guards against sidecars that reject each delta of the new discovery and so refuse every request.
+    endpoint, old, new = Endpoint(), FakeDiscovery(), FakeDiscovery()
+    async with await new.start(), run_sidecar(endpoint, discovery_server=old) as running:
+        lists = received_lists(running)
+        _, watch = await old.watches.get()
+        push_line(watch, b'{"generation":7,"reset":true,"instances":[],"lineage":"ab","term":1}\n')
+        await lists.get()
+        assert running.driver.discovery is not None
+        running.driver.discovery.change_address(f"{new.host}:{new.port}")
+        start, call = await new.watches.get()
+        while "watch=1" in start:
+            push_list(call, 8, False)
+            start, call = await new.watches.get()
+        push_list(call, 8, True, endpoint.entry("s-9"))
+        mode, (entry,) = await lists.get()
+        assert (mode, entry.endpoint) == (LIST_FULL, endpoint_number("s-9"))
+
+
 @on_loop
 async def test_configured_list_is_passed_on_as_the_cached_list(monkeypatch: pytest.MonkeyPatch) -> None:
     modes: list[int] = []
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -262,6 +262,8 @@
             self.is_lost = True
             fields = {"at": self.address, "version": self.generation, "reason": stream.failure}
             LOG.warning(LOST_MESSAGE, extra=fields)
+        if stream.needs_full_list:
+            self.fetch()  # a watch would resume from the same position and get the same delta again
         self.replica_index = (self.replica_index + 1) % len(self.replicas)
         if not self.uses_push and not self.is_moving:
             self.on_failed()  # the policy decides when to call again
--- a/woadyard/net/list_stream.py
+++ b/woadyard/net/list_stream.py
@@ -56,6 +56,7 @@
         self.status = 0  # of the response, once its head has been received
         self.is_complete = False  # the response has been received to its end
         self.is_other_lineage = False  # it sent a list of another lineage than the current one
+        self.needs_full_list = False  # it sent a delta that does not apply to the current list
         self.confirms_current = False  # the list that it sent is the current one
         self.is_done = False  # finished or abandoned: what follows is ignored
         self.failure: StreamFailure | None = None
@@ -121,6 +122,7 @@
             for message in self.decoder.read_objects():
                 if not self.owner.receive(message):
                     self.is_other_lineage = message.lineage != self.owner.current.version.lineage
+                    self.needs_full_list = self.is_other_lineage and not message.reset
                     self.fail(StreamFailure.OUTDATED)
                     return
                 # A lagging replica sends an older list: its heartbeats don't confirm the current one.
