Name the three decisions on a received list by an enum

Cause: TAKE, KEEP and REFUSE were bare strings, so that a misspelt one would have compared as false.

Change: ListDecision in woadyard/net/list_version.py, and its users; the tests that import the names follow, with the same cases and results asserted.

--- a/tests/test_log_divergence.py
+++ b/tests/test_log_divergence.py
@@ -16,7 +16,7 @@
 from tests.test_registry import ENTRY
 from woadyard.errors import LogEntryError
 from woadyard.lists import EndpointListState
-from woadyard.net.list_version import TAKE, CurrentVersion, ListMessage, ListVersion
+from woadyard.net.list_version import CurrentVersion, ListDecision, ListMessage, ListVersion
 from woadyard.registry.follower import Follower
 from woadyard.registry.log import Journal
 from woadyard.registry.log_tail import LogTail
@@ -53,7 +53,8 @@
             "lineage": registry.log_state.lineage,
         }
         received = msgspec.convert(response, ListMessage).version
-        if response["lineage"] and self.current.evaluate(received, response["reset"], 0.0) == TAKE:
+        decision = self.current.evaluate(received, response["reset"], 0.0)
+        if response["lineage"] and decision is ListDecision.TAKE:
             self.current.replace(received, 0.0)
             self.current.accepts_any_full_list = False
             if response["reset"]:
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -17,11 +17,9 @@
 from woadyard.lists.service import INSTANCES_PATH
 from woadyard.net.discovery import Discovery
 from woadyard.net.list_version import (
-    KEEP,
     OTHER_LINEAGE_AFTER_S,
-    REFUSE,
-    TAKE,
     CurrentVersion,
+    ListDecision,
     ListMessage,
     ListVersion,
 )
@@ -164,18 +162,18 @@
 @pytest.mark.parametrize(
     ("received", "is_full", "after_s", "verdict"),
     [
-        ({"generation": 8}, False, 0.0, TAKE),
-        ({"generation": 6}, True, 0.0, KEEP),
-        ({"term": 6, "generation": 2}, True, 0.0, TAKE),
-        ({"term": 4, "generation": 9}, True, 99.0, REFUSE),
-        ({"lineage": "cd"}, True, OTHER_LINEAGE_AFTER_S - 1.0, REFUSE),
-        ({"lineage": "cd"}, True, OTHER_LINEAGE_AFTER_S + 1.0, TAKE),
-        ({"lineage": "cd"}, False, OTHER_LINEAGE_AFTER_S + 1.0, REFUSE),
-        ({"lineage": "", "term": 0, "generation": 9}, True, 0.0, REFUSE),
+        ({"generation": 8}, False, 0.0, ListDecision.TAKE),
+        ({"generation": 6}, True, 0.0, ListDecision.KEEP),
+        ({"term": 6, "generation": 2}, True, 0.0, ListDecision.TAKE),
+        ({"term": 4, "generation": 9}, True, 99.0, ListDecision.REFUSE),
+        ({"lineage": "cd"}, True, OTHER_LINEAGE_AFTER_S - 1.0, ListDecision.REFUSE),
+        ({"lineage": "cd"}, True, OTHER_LINEAGE_AFTER_S + 1.0, ListDecision.TAKE),
+        ({"lineage": "cd"}, False, OTHER_LINEAGE_AFTER_S + 1.0, ListDecision.REFUSE),
+        ({"lineage": "", "term": 0, "generation": 9}, True, 0.0, ListDecision.REFUSE),
     ],
 )
 def test_the_list_with_the_greater_term_is_the_newer_one(
-    received: dict[str, Any], is_full: bool, after_s: float, verdict: str
+    received: dict[str, Any], is_full: bool, after_s: float, verdict: ListDecision
 ) -> None:
     held_list = CurrentVersion()
     held_list.replace(ListVersion(**HELD), 100.0)
--- a/woadyard/net/discovery.py
+++ b/woadyard/net/discovery.py
@@ -17,7 +17,7 @@
 from woadyard.membership import ListHandler
 from woadyard.net.backoff import Backoff
 from woadyard.net.list_stream import Stream, StreamFailure
-from woadyard.net.list_version import REFUSE, TAKE, CurrentVersion, ListMessage, ListVersion
+from woadyard.net.list_version import CurrentVersion, ListDecision, ListMessage, ListVersion
 
 # On an unchanged list a heartbeat arrives every 2 s. Soon after a missed one the watch counts as dead, as
 # a network partition closes no connection. A change made meanwhile binds after 6 s, and the next call may
@@ -211,18 +211,18 @@
         # generations over.
         version = message.version
         decision = self.current.evaluate(version, message.reset, self.loop.time())
-        if decision == REFUSE:
+        if decision is ListDecision.REFUSE:
             fields = {"at": self.address, "term": version.term, "held": self.current.version.term}
             LOG.warning("rejected a list of an older term or another lineage", extra=fields)
             return False
-        if decision == TAKE:
+        if decision is ListDecision.TAKE:
             self._apply_list(version, message.reset, message.instances)
         self.is_moving, self.current.accepts_any_full_list = False, False
         self.list_received.set()
         self.first_result.set()
         if not message.following:
             return False
-        if decision == TAKE:
+        if decision is ListDecision.TAKE:
             self.is_unconfirmed = False
             self.on_confirmed()
         self.backoff.reset()
--- a/woadyard/net/list_version.py
+++ b/woadyard/net/list_version.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Annotated, Any
 
 import msgspec
@@ -19,7 +20,14 @@
 OTHER_LINEAGE_AFTER_S = 10.0
 Lineage = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{0,64}\Z")]
 Term = Annotated[int, msgspec.Meta(ge=0, lt=1 << 52)]
-TAKE, KEEP, REFUSE = "take", "keep", "refuse"
+
+
+class ListDecision(Enum):
+    """What to do with a received list."""
+
+    TAKE = "replace the current list by it"
+    KEEP = "keep the current list, which is newer"
+    REFUSE = "use another replica, as it is of an older term or of another lineage"
 
 
 @dataclass(frozen=True)
@@ -54,21 +62,19 @@
         self.lineage_seen_s = 0.0  # when the current lineage was last received
         self.accepts_any_full_list = True  # the first full list from a new address, whatever its version
 
-    def evaluate(self, candidate: ListVersion, is_full: bool, now_s: float) -> str:
-        """Decide what to do with a received list.
-
-        Returns TAKE to replace the current list, KEEP where the current one is newer, or REFUSE where
-        the replica that sent it must not be used: its list is of an older term or of another lineage."""
+    def evaluate(self, candidate: ListVersion, is_full: bool, now_s: float) -> ListDecision:
+        """Decide what to do with a received list, at a time of the loop in seconds."""
         current = self.version
         if is_full and self.accepts_any_full_list:
-            return TAKE
+            return ListDecision.TAKE
         if candidate.lineage != current.lineage:
-            return TAKE if is_full and now_s - self.lineage_seen_s > OTHER_LINEAGE_AFTER_S else REFUSE
+            may_replace = is_full and now_s - self.lineage_seen_s > OTHER_LINEAGE_AFTER_S
+            return ListDecision.TAKE if may_replace else ListDecision.REFUSE
         if candidate.term < current.term:
-            return REFUSE
+            return ListDecision.REFUSE
         if candidate.term == current.term and candidate.generation < current.generation:
-            return KEEP
-        return TAKE
+            return ListDecision.KEEP
+        return ListDecision.TAKE
 
     def replace(self, replacement: ListVersion, now_s: float) -> None:
         """Record that a list of this version is in use from now on."""
