--- a/tests/test_resumed_watch.py
+++ b/tests/test_resumed_watch.py
@@ -27,8 +27,7 @@
     endpoint, service = await lab.endpoint(), await lab.service()
     await lab.register(service, "s-0", endpoint)
     proxies = [await lab.proxy(service), await lab.proxy(service)]
-    named = proxies if path == "replica silent" else proxies[0]
-    sidecar = await lab.sidecar(discovery=named, settings=ASKING)
+    sidecar = await lab.sidecar(discovery=proxies[: 1 + (path == "replica silent")], settings=ASKING)
     await sidecar.wait_metric("woadyard_list_version 1.0")
     connections = sum(proxy.accepted_connections for proxy in proxies)
     match path:
