--- a/review/common2/world.py
+++ b/review/common2/world.py
@@ -169,6 +169,7 @@
         self.is_crowded = False  # calls wait, and fail after `crowded_wait_s` with 503
         self.crowded_wait_s = 1.0
         self.beat_task: asyncio.Task[None] | None = None
+        self.calls_s: list[float] = []
 
     async def start(self, port: int = 0) -> None:
         """Listen; a second call does so at another address, as after a change of address."""
@@ -201,6 +202,10 @@
     def _write_line(self, writer: asyncio.StreamWriter, line: bytes) -> None:
         writer.write(b"%x\r\n%b\n\r\n" % (len(line) + 1, line))
 
+    def calls_since(self, time_s: float) -> int:
+        """How many calls have come since then."""
+        return sum(call_s >= time_s for call_s in self.calls_s)
+
     def end_watches(self) -> None:
         """Reset all open watches."""
         for writer in list(self.watchers):
@@ -218,6 +223,7 @@
         with closing(writer):
             if (head := await read_head(reader)) is not None:
                 target = head[1].split(" ")[1]
+                self.calls_s.append(now_s())
                 self.record("discovery call", target=target, crowded=self.is_crowded)
                 if self.is_crowded:
                     await asyncio.sleep(self.crowded_wait_s)
