--- a/review/7/case.py
+++ b/review/7/case.py
@@ -29,7 +29,7 @@
 )
 
 PIECE, PIECES, PIECE_S = 10_000, 100, 0.1  # an answer of 1 MB, given within 10 s
-LARGE_ANSWERS = 6
+LARGE_ANSWERS = 12
 HANG_AFTER_S, HANG_S = 8.0, 15.0  # from the first large request on
 PATIENCE_S = 60.0  # how long a client waits for the rest of an answer that has begun
 
@@ -91,7 +91,7 @@
 
 async def case(record: Record, folder: Path) -> int:
     hang = Hang()
-    endpoints = [Endpoint(f"s-{n}", record, hang.answer) for n in range(3)]
+    endpoints = [Endpoint(f"s-{n}", record, hang.answer) for n in range(10)]
     for endpoint in endpoints:
         await endpoint.start()
     discovery = Discovery(record, [endpoint.entry for endpoint in endpoints])
