--- a/review/9/case.py
+++ b/review/9/case.py
@@ -31,7 +31,7 @@
 
 GRACE_S, SLACK_S = 0.25, 0.05
 WATCHED_S = 6.0  # how long requests go on after the first calls
-PAIRS, BETWEEN_S = [("s-1", "s-2"), ("s-3", "s-4"), ("s-5", "s-6")], 0.3
+PAIRS = [("s-1", "s-2"), ("s-3", "s-4"), ("s-5", "s-6")]
 
 
 async def call(record: Record, console: int, method: str, path: str, body: str = "") -> int:
@@ -103,7 +103,6 @@
             if (answers := await asyncio.gather(*calls)) != [200, 200]:
                 raise CaseError(f"the calls were answered {answers}")
             yes_s |= dict.fromkeys(pair, now_s())
-            await asyncio.sleep(BETWEEN_S)
         if TROUBLE:
             elder.signal(signal.SIGTERM)
         await load
