Hold a body in one buffer, however small the chunks are that it comes in

Cause: request parser and endpoint connection kept each piece that the HTTP parser reports as an object in a list, some 40 bytes for 6, and the parser kept the list until the next request of the connection.

Change: one bytearray for each body, handed over whole and let go with the request. Streamed bodies and responses pass on what one read delivers as one part, in place of one write for each chunk; the start of an upload is one buffer too.

--- a/tests/test_bad_bytes.py
+++ b/tests/test_bad_bytes.py
@@ -229,7 +229,7 @@
         for _ in range(30):
             writer.write(GARBAGE)
             await writer.drain()
-        assert not connection.parser.body_parts and connection.parser.bytes_since_request <= READ_SIZE, (
+        assert not connection.parser.body and connection.parser.bytes_since_request <= READ_SIZE, (
             "none of it is parsed"
         )
         assert (await read_message(reader)).start_line.split()[1] in ("400", "413")
--- a/woadyard/net/client_connection.py
+++ b/woadyard/net/client_connection.py
@@ -112,6 +112,7 @@
         self.server.idle_since.pop(self, None)
         try:
             self.parser.feed(data)
+            self._forward_body()
             self.serve_next()
         except httptools.HttpParserCallbackError as error:
             self.serve_next()  # complete requests before the bad one are served
@@ -156,13 +157,16 @@
         if self.call is None and not self.pipelined and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_body_part(self, data: bytes) -> bool:
-        if self.upload is not None:
-            self.upload.feed(data)
-            return True
-        return self.discards_body
+    def _forward_body(self) -> None:
+        """Pass on what was read of a streamed body, as one part; of one that is discarded, keep nothing."""
+        if self.upload is None and not self.discards_body:
+            return  # the parser buffers the body
+        part = self.parser.take_body()
+        if self.upload is not None and part:
+            self.upload.feed(part)
 
     def on_request_complete(self) -> None:
+        self._forward_body()
         if self.discards_body:
             self._linger()
         elif self.upload is not None:
@@ -192,7 +196,7 @@
             self._write_last(accepted)
             return
         self.upload = accepted.upload = Upload(
-            self.parser.content_length, self.parser.take_body_parts(), self.set_upload_paused
+            self.parser.content_length, accepted.body, self.set_upload_paused
         )
         accepted.body = b""
         accepted.expires_us += MAX_UPLOAD_US
--- a/woadyard/net/endpoint_connection.py
+++ b/woadyard/net/endpoint_connection.py
@@ -90,7 +90,7 @@
 
     def _reset_response(self) -> None:
         self.headers: Headers = []
-        self.body_parts: list[bytes] = []
+        self.body = bytearray()  # received and not passed on yet
         self.body_size = self.bytes_since_body = 0  # the latter: read since the last body byte
         self.load_report = b""
         self.status = 0  # 0 until the response head is complete
@@ -259,7 +259,9 @@
         self.bytes_since_body += len(data)
         try:
             self.parser.feed_data(data)
+            self._relay_body()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._relay_body()  # what came before the fault
             # Unsolicited bytes after a complete response don't invalidate it, but no further
             # response can be delimited on this connection.
             self.allows_keep_alive = False
@@ -305,19 +307,24 @@
     def on_body(self, data: bytes) -> None:
         self.body_size += len(data)
         self.bytes_since_body = 0
-        if self.is_relaying:
-            assert self.attempt is not None
-            self.attempt.call.client.send_body_part(data)
-        else:
-            self.body_parts.append(data)
-            if self.body_size > MAX_BUFFERED_BODY_BYTES:
-                self._begin_relay()
+        self.body += data
+        if self.body_size > MAX_BUFFERED_BODY_BYTES and not self.is_relaying:
+            self._begin_relay()
+
+    def _take_body(self) -> bytes:
+        body = bytes(self.body)
+        self.body = bytearray()
+        return body
+
+    def _relay_body(self) -> None:
+        """Pass on what was read of a streamed response, as one part however small its chunks are."""
+        if self.is_relaying and self.attempt is not None and (part := self._take_body()):
+            self.attempt.call.client.send_body_part(part)
 
     def _begin_relay(self) -> None:
         """Stream a response that is too large to buffer to the client from here on."""
         if self.status == 200 and self.attempt is not None:
-            response = Response(200, end_to_end_headers(self.headers), b"".join(self.body_parts))
-            self.body_parts.clear()
+            response = Response(200, end_to_end_headers(self.headers), self._take_body())
             self.is_relaying = self.owner.begin_relay(self.attempt, response, self.content_length)
 
     def set_reading_paused(self, paused: bool) -> None:
@@ -341,7 +348,7 @@
         elif self.status == 200:
             outcome = OK if self.is_complete else RESET
             response = (
-                Response(200, end_to_end_headers(self.headers), b"".join(self.body_parts))
+                Response(200, end_to_end_headers(self.headers), self._take_body())
                 if self.is_complete
                 else None
             )
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -98,17 +98,18 @@
     The client is read only while an endpoint connection accepts the body.
     """
 
-    __slots__ = ("is_complete", "length", "partly_sent", "parts", "set_paused", "stream")
+    __slots__ = ("buffered", "is_complete", "length", "partly_sent", "set_paused", "stream")
 
-    def __init__(self, length: int | None, parts: list[bytes], set_paused: Callable[[bool], None]) -> None:
-        self.length, self.parts, self.set_paused = length, parts, set_paused  # without a length: chunked
+    def __init__(self, length: int | None, received: bytes, set_paused: Callable[[bool], None]) -> None:
+        self.length, self.set_paused = length, set_paused  # without a length: chunked
+        self.buffered = bytearray(received)
         self.is_complete = False  # the last byte was received
         self.partly_sent = False  # sent bytes are not kept, so no other attempt can send them
         self.stream: EndpointStream | None = None
 
     def feed(self, data: bytes) -> None:
         if self.stream is None:
-            self.parts.append(data)
+            self.buffered += data
         else:
             self.partly_sent = True
             self.stream.send_body_part(data)
@@ -123,9 +124,9 @@
         """Forward what was buffered, and all further parts, to this endpoint connection."""
         self.stream = stream
         self.set_paused(False)
-        buffered, self.parts = self.parts, []
-        for part in buffered:
-            self.feed(part)
+        buffered, self.buffered = bytes(self.buffered), bytearray()
+        if buffered:
+            self.feed(buffered)
         if self.is_complete:
             stream.end_body()
 
--- a/woadyard/net/request_head.py
+++ b/woadyard/net/request_head.py
@@ -118,7 +118,7 @@
         server.driver, parser.method, parser.target, parser.headers, client, server.responses_due_us
     )
     server.claim_request_id(request_id(parser.headers), call.expires_us)
-    call.body = b"".join(parser.body_parts)
+    call.body = parser.take_body()
     return call if not server.rejects_requests else server.reject_request()
 
 
--- a/woadyard/net/request_parser.py
+++ b/woadyard/net/request_parser.py
@@ -27,9 +27,6 @@
     def on_expect_continue(self) -> None:
         """The client expects a 100 Continue before it sends the body."""
 
-    def on_body_part(self, data: bytes) -> bool:
-        """Return whether the handler consumed the part; otherwise the parser buffers it."""
-
     def on_request_complete(self) -> None:
         """The last byte of a request was parsed."""
 
@@ -46,7 +43,8 @@
     def _reset(self) -> None:
         self.target = b""
         self.headers: Headers = []
-        self.body_parts: list[bytes] = []
+        # One buffer: as objects of their own, the pieces of a body in small chunks take many times its size.
+        self.body = bytearray()
         self.body_size = self.head_size = 0
         self.content_length: int | None = None
         self.in_body = self.is_reading = False
@@ -94,10 +92,11 @@
         """Whether the body being received is too large to buffer."""
         return self.in_body and max(self.body_size, self.content_length or 0) > MAX_BUFFERED_BODY_BYTES
 
-    def take_body_parts(self) -> list[bytes]:
-        """Return the buffered parts and keep none."""
-        parts, self.body_parts = self.body_parts, []
-        return parts
+    def take_body(self) -> bytes:
+        """Return what was received of the body since the last call, and keep none of it."""
+        body = bytes(self.body)
+        self.body = bytearray()
+        return body
 
     def finish_request(self) -> None:
         self.in_body, self.is_reading, self.bytes_since_request = False, False, 0
@@ -141,8 +140,7 @@
         self.body_size += len(data)
         if self.body_size > MAX_BODY_BYTES:
             raise BadRequestError(413, "the request body is too large")
-        if not self.handler.on_body_part(data):
-            self.body_parts.append(data)
+        self.body += data
 
     def on_message_complete(self) -> None:
         if not self.handler.is_closed:
