Read, change and write the file of bans under one lock

Cause: a call read the file, let go of its lock, and then wrote all bans that its process knew. The ban that the other process had written in between was overwritten, and the other process took the file for the truth. A file that is replaced unread, or bans lost at the start of a process, are excluded by the tests of those.

Change: a ban or its end stays a change of its own until it is in the file; reading, applying and writing are one step under the lock. The same cause on a related path: a ban whose write had failed was lost when the other process wrote next.

--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -28,6 +28,40 @@
     assert not old.banned_numbers and not new.banned_numbers
 
 
+def test_a_ban_is_kept_that_another_process_sets_at_the_same_moment(tmp_path: Path) -> None:
+    """Guards against a file that is written by what was read before the other process wrote it."""
+    old, new = (Bans(tmp_path / "s.json", RecordedChanges()) for _ in range(2))
+    old.add_listed(["s-1", "s-2"])
+    old.sync()
+    new.sync()
+    sync = old.sync
+
+    def sync_before_the_other_writes() -> None:
+        sync()
+        new.detach("s-2")
+
+    vars(old)["sync"] = sync_before_the_other_writes
+    assert old.detach("s-1")
+    del vars(old)["sync"]
+    old.sync()
+    new.sync()
+    assert old.banned.keys() == new.banned.keys() == {"s-1", "s-2"}
+
+
+def test_a_ban_that_could_not_be_saved_survives_what_another_process_writes(tmp_path: Path) -> None:
+    """Guards against bans that are kept in memory only until the file changes."""
+    old, new = (Bans(tmp_path / "s.json", RecordedChanges()) for _ in range(2))
+    old.add_listed(["s-1", "s-2"])
+    old.sync()
+    (tmp_path / "s.new").mkdir()  # in the way of each write
+    assert old.detach("s-1") and old.banned_numbers == {endpoint_number("s-1")}
+    (tmp_path / "s.new").rmdir()
+    assert new.detach("s-2")
+    old.sync()
+    new.sync()
+    assert old.banned.keys() == new.banned.keys() == {"s-1", "s-2"}
+
+
 def test_an_instance_that_was_never_listed_is_rejected(tmp_path: Path) -> None:
     bans = Bans(tmp_path / "s.json", RecordedChanges())
     assert not bans.detach("s-1") and not bans.attach("s-1") and not bans.banned_numbers
--- a/woadyard/net/state.py
+++ b/woadyard/net/state.py
@@ -43,8 +43,9 @@
 class Bans:
     """The endpoints that operators detached; safe to use from any thread.
 
-    A change takes effect in memory at once, and the file follows. `on_change` is called
-    with an endpoint's number and True when it is detached, False when it is attached.
+    A change takes effect in memory at once, and the file follows. Until the file has it, it is
+    applied again to whatever another process wrote. `on_change` is called with an endpoint's
+    number and True when it is detached, False when it is attached.
     """
 
     def __init__(self, path: Path | None, on_change: Callable[[int, bool], None]) -> None:
@@ -53,7 +54,8 @@
         self.listed: dict[str, None] = {}  # oldest first
         self.banned: dict[str, None] = {}
         self.banned_numbers: set[int] = set()
-        self.has_unsaved = False
+        self.unsaved_bans: dict[str, bool] = {}  # changed here: whether the instance is banned
+        self.has_unsaved_names = False  # among `listed`
         self.last_signature: tuple[int, int, int] | None = None  # of the file when it was last read
         self.last_error = ""  # the last write error that was logged
         self.sync()
@@ -64,7 +66,7 @@
             for instance in instances:
                 if instance not in self.listed:
                     self.listed[instance] = None
-                    self.has_unsaved = True
+                    self.has_unsaved_names = True
             while len(self.listed) > MAX_LISTED_NAMES:
                 del self.listed[next(iter(self.listed))]
 
@@ -81,21 +83,22 @@
         with self.lock:
             if instance not in self.listed:
                 return False
-            self._apply({**self.banned, instance: None} if is_banned else self._without(instance))
+            self.unsaved_bans[instance] = is_banned
+            self._apply(self.banned)
             if self.path is not None:
-                self._with_file_lock(self._write)
+                self._with_file_lock(self._read_and_write)
         return True
 
-    def _without(self, instance: str) -> dict[str, None]:
-        return {name: None for name in self.banned if name != instance}
-
     def sync(self) -> None:
         """Apply what another process wrote, and save what is new in this one."""
         with self.lock:
-            if self.path is None or (self._signature() == self.last_signature and not self.has_unsaved):
+            if self.path is None or not (self._has_unsaved() or self._signature() != self.last_signature):
                 return
             self._with_file_lock(self._read_and_write)
 
+    def _has_unsaved(self) -> bool:
+        return self.has_unsaved_names or bool(self.unsaved_bans)
+
     def _signature(self) -> tuple[int, int, int] | None:
         assert self.path is not None
         try:
@@ -118,7 +121,7 @@
 
     def _read_and_write(self) -> None:
         self._read()
-        if self.has_unsaved:
+        if self._has_unsaved():
             self._write()
 
     def _read(self) -> None:
@@ -133,11 +136,15 @@
         except (OSError, ValueError, KeyError, TypeError) as error:
             LOG.warning("state is not read", extra={"error": f"{type(error).__name__}: {error}"})
             return
-        self.has_unsaved |= not self.listed.keys() <= listed.keys()
+        self.has_unsaved_names |= not self.listed.keys() <= listed.keys()
         self.listed = {**listed, **self.listed}
         self._apply(banned)
 
-    def _apply(self, banned: dict[str, None]) -> None:
+    def _apply(self, saved: dict[str, None]) -> None:
+        """Put the saved bans into effect, with the changes that are not saved yet."""
+        lifted = {instance for instance, is_banned in self.unsaved_bans.items() if not is_banned}
+        added = [instance for instance, is_banned in self.unsaved_bans.items() if is_banned]
+        banned = dict.fromkeys([*(name for name in saved if name not in lifted), *added])
         before, self.banned = self.banned, banned
         for instance in banned:
             if instance not in before:
@@ -153,7 +160,9 @@
         new_path = self.path.with_suffix(".new")
         new_path.write_text(json.dumps({"banned": list(self.banned), "listed": list(self.listed)}))
         os.replace(new_path, self.path)
-        self.last_signature, self.has_unsaved = self._signature(), False
+        self.last_signature = self._signature()
+        self.has_unsaved_names = False
+        self.unsaved_bans.clear()
 
 
 class ProcessSlots:
