--- a/tests/test_discovery_failures.py
+++ b/tests/test_discovery_failures.py
@@ -17,7 +17,6 @@
 
 from tests.sockets import SETTINGS
 from tests.test_discovery import CHUNKED_HEAD, FakeLoop
-from woadyard.__main__ import ConfigReloader
 from woadyard.net import discovery as discovery_module
 from woadyard.net.config import Config
 from woadyard.net.discovery import Discovery
@@ -25,6 +24,7 @@
 from woadyard.net.list_stream import Stream
 from woadyard.net.list_version import OTHER_LINEAGE_AFTER_S
 from woadyard.net.upstream import Upstream
+from woadyard.sidecar import ConfigReloader
 from woadyard.wire import read_settings
 
 CallOutcome = Callable[["SimulatedSidecar", Stream], None]
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -85,3 +85,11 @@
     for reader, _ in connections:
         assert (await read_message(reader)).start_line.split()[1] == "408"
     assert peak_memory_mb(sidecar) < 64
+
+
+async def test_a_sidecar_loads_no_library_for_what_it_does_not_speak(lab: Lab) -> None:
+    """Guards against imports that take what the smallest sidecar has for clients (OpenSSL: 5 MB of 32)."""
+    sidecar = await lab.sidecar()
+    assert "woadyard_requests_total 0.0" in await sidecar.metrics()
+    mapped = Path(f"/proc/{sidecar.process.pid}/maps").read_text()
+    assert "uvloop" in mapped and "libcrypto" not in mapped
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 from pathlib import Path
 
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 from prometheus_client.parser import text_string_to_metric_families
 
 from tests.process import http_call, start_ready_sidecar
 from tests.sockets import Endpoint, FakeDiscovery, http_request, read_message, run_test
+from woadyard.ops.metric_types import MetricRegistry
 
 REQUESTS, CONNECTIONS, IDLE_CONNECTIONS = 300, 30, 40
 
@@ -58,3 +61,21 @@
         assert after["woadyard_list_version"] == 1
 
     run_test(main())
+
+
+def test_the_text_is_the_same_as_that_of_the_prometheus_client() -> None:
+    bounds, own, registry = (0.1, 1.0), MetricRegistry(), CollectorRegistry()
+    counters = own.counter("a_b", "Text", ["x"]), Counter("a_b", "Text", ["x"], registry=registry)
+    plain = own.counter("plain", "More"), Counter("plain", "More", registry=registry)
+    unused = own.counter("unused", "None", ["x"]), Counter("unused", "None", ["x"], registry=registry)
+    gauges = own.gauge("g", "Level"), Gauge("g", "Level", registry=registry)
+    histograms = own.histogram("h", "S", bounds), Histogram("h", "S", buckets=bounds, registry=registry)
+    for n in range(2):
+        counters[n].labels('quo"te\\').inc()
+        plain[n].inc(2.5)
+        gauges[n].set(7)
+        for value in (0.05, 0.1, 0.5, 3.0):
+            histograms[n].observe(value)
+    assert unused
+    times = re.compile(r"(_created\S*) .*")
+    assert times.sub(r"\1", own.render()) == times.sub(r"\1", generate_latest(registry).decode())
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -31,11 +31,11 @@
     run_test,
     serve_ok,
 )
-from woadyard.__main__ import ConfigReloader
 from woadyard.membership.shrink import ShrinkGuard
 from woadyard.net.config import read_config
 from woadyard.net.discovery import Discovery
 from woadyard.net.state import endpoint_number
+from woadyard.sidecar import ConfigReloader
 
 
 def test_a_second_process_takes_over_the_platforms_listening_socket(tmp_path: Path) -> None:
--- a/woadyard/cli.py
+++ b/woadyard/cli.py
@@ -10,13 +10,10 @@
 import sys
 from collections.abc import Sequence
 
-from woadyard.errors import ConfigError
+from woadyard.errors import EXIT_CONFIG_ERROR, ConfigError
 from woadyard.net.config import read_config, read_config_file, reread_config
 from woadyard.registry import add_arguments
 
-# Exit status of a command whose configuration is invalid.
-EXIT_CONFIG_ERROR = 2
-
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
@@ -82,6 +79,19 @@
     return EXIT_CONFIG_ERROR if errors else 0
 
 
+def run_command(argv: Sequence[str]) -> int:
+    """Run the command that the arguments name; return the exit status."""
+    arguments = parse_arguments(argv)
+    if arguments.command == "check-config":
+        return check_config(arguments.file, arguments.in_force)
+    if arguments.command == "registry":
+        from woadyard.registry.command import start
+
+        return start(arguments)
+    build_parser().print_help()
+    return EXIT_CONFIG_ERROR
+
+
 def parse_arguments(argv: Sequence[str] | None = None) -> argparse.Namespace:
     """Parse `argv`, by default the arguments of this process."""
     return build_parser().parse_args(sys.argv[1:] if argv is None else argv)
--- a/woadyard/errors.py
+++ b/woadyard/errors.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+# Exit status of a process whose configuration is invalid.
+EXIT_CONFIG_ERROR = 2
+
 
 class WoadyardError(Exception):
     """Base class of all errors; `message` is one line without a full stop."""
--- a/woadyard/ops/metrics.py
+++ b/woadyard/ops/metrics.py
@@ -1,19 +1,15 @@
 """Counters, gauges and histograms of one sidecar, served by the admin listener at `GET /_metrics`.
 
-`Metrics` keeps them in a `prometheus_client` registry of its own, so that several sidecars
-in one process (as in tests) count separately; `render` returns the Prometheus text format
-0.0.4. `NullMetrics` has the same methods and keeps nothing, for a process without an admin
-listener, where nobody could read them. The methods take times in microseconds; the output
-has seconds.
+`Metrics` keeps its own, so that several sidecars in one process (as in tests) count separately;
+`render` returns the Prometheus text format 0.0.4. `NullMetrics` has the same methods and keeps
+nothing, for a process without an admin listener, where nobody could read them. The methods take
+times in microseconds; the output has seconds.
 """
 
 from __future__ import annotations
 
-from typing import Any
-
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
-
 from woadyard.interface import LIST_CACHED, LIST_DELTA, LIST_FAILED, LIST_FULL
+from woadyard.ops.metric_types import MetricRegistry, Sample
 
 OUTCOMES = ("ok", "error", "full", "timeout", "no_connect", "reset", "cancelled", "moot")
 LISTS = {LIST_FULL: "full", LIST_FAILED: "failed", LIST_DELTA: "delta", LIST_CACHED: "cached"}
@@ -82,68 +78,60 @@
 
 
 class Metrics(NullMetrics):
-    """The metrics of one sidecar; a method takes a lock or two and does no I/O."""
+    """The metrics of one sidecar; no method does I/O."""
 
     def __init__(self) -> None:
-        self.registry = registry = CollectorRegistry()
-        self.requests = Counter("woadyard_requests", "Requests received from clients", registry=registry)
-        responses = Counter(
-            "woadyard_answers", "Final responses to clients, by status", ["status"], registry=registry
-        )
+        self.registry = registry = MetricRegistry()
+        self.requests = registry.counter("woadyard_requests", "Requests received from clients")
+        responses = registry.counter("woadyard_answers", "Final responses to clients, by status", ["status"])
         self.responses = responses.labels
-        self.by_status: dict[int, Any] = {}  # the children: looking one up by `labels` takes a lock
-        self.request_seconds = Histogram(
-            "woadyard_request_seconds", "From a request received to its final response", buckets=BUCKETS,
-            registry=registry,
-        )  # fmt: skip
-        self.attempts = Counter("woadyard_attempts", "Attempts sent to endpoints", registry=registry)
-        self.retries = Counter("woadyard_retries", "Attempts beyond a request's first", registry=registry)
-        outcomes = Counter(
-            "woadyard_attempt_outcomes", "Attempts ended, by outcome", ["outcome"], registry=registry
+        self.by_status: dict[int, Sample] = {}
+        self.request_seconds = registry.histogram(
+            "woadyard_request_seconds", "From a request received to its final response", BUCKETS
         )
+        self.attempts = registry.counter("woadyard_attempts", "Attempts sent to endpoints")
+        self.retries = registry.counter("woadyard_retries", "Attempts beyond a request's first")
+        outcomes = registry.counter("woadyard_attempt_outcomes", "Attempts ended, by outcome", ["outcome"])
         self.outcomes = [outcomes.labels(name) for name in OUTCOMES]
-        self.attempt_seconds = Histogram(
-            "woadyard_attempt_seconds", "From an attempt sent to its outcome", buckets=BUCKETS,
-            registry=registry,
-        )  # fmt: skip
-        self.rejections = Counter("woadyard_refusals", "Requests rejected by admission", registry=registry)
-        malformed = Counter(
-            "woadyard_malformed", "Requests rejected before they were accepted", ["status"], registry=registry
+        self.attempt_seconds = registry.histogram(
+            "woadyard_attempt_seconds", "From an attempt sent to its outcome", BUCKETS
+        )
+        self.rejections = registry.counter("woadyard_refusals", "Requests rejected by admission")
+        malformed = registry.counter(
+            "woadyard_malformed", "Requests rejected before they were accepted", ["status"]
         )
         self.malformed_by_status = malformed.labels
-        bans = Counter("woadyard_bans", "Endpoints detached or attached", ["act"], registry=registry)
+        bans = registry.counter("woadyard_bans", "Endpoints detached or attached", ["act"])
         self.bans = bans.labels("detach"), bans.labels("attach")
-        lists = Counter("woadyard_lists", "Lists from discovery, by kind", ["kind"], registry=registry)
+        lists = registry.counter("woadyard_lists", "Lists from discovery, by kind", ["kind"])
         self.lists = {mode: lists.labels(name) for mode, name in LISTS.items()}
-        self.list_version = Gauge("woadyard_list_version", "Version of the list in force", registry=registry)
-        heartbeats = Counter(
-            "woadyard_discovery_heartbeats", "Heartbeats of the watch, by whether they renewed the lease",
-            ["renewed"], registry=registry,
-        )  # fmt: skip
-        self.heartbeats = {True: heartbeats.labels("yes"), False: heartbeats.labels("no")}
-        self.held_endpoints = Gauge(
-            "woadyard_list_held", "Endpoints lost by the list and held back", registry=registry
+        self.list_version = registry.gauge("woadyard_list_version", "Version of the list in force")
+        heartbeats = registry.counter(
+            "woadyard_discovery_heartbeats",
+            "Heartbeats of the watch, by whether they renewed the lease",
+            ["renewed"],
         )
-        self.peers = Gauge("woadyard_peers", "Sidecars that share state", registry=registry)
-        exchanges = Counter("woadyard_exchanges", "Exchanges with peers", ["result"], registry=registry)
+        self.heartbeats = {True: heartbeats.labels("yes"), False: heartbeats.labels("no")}
+        self.held_endpoints = registry.gauge("woadyard_list_held", "Endpoints lost by the list and held back")
+        self.peers = registry.gauge("woadyard_peers", "Sidecars that share state")
+        exchanges = registry.counter("woadyard_exchanges", "Exchanges with peers", ["result"])
         self.exchanges = {name: exchanges.labels(name) for name in ("done", "refused", "failed")}
-        exchange_bytes = Counter(
-            "woadyard_exchange_bytes", "Bytes of the bodies of exchanges", ["way"], registry=registry
+        exchange_bytes = registry.counter(
+            "woadyard_exchange_bytes", "Bytes of the bodies of exchanges", ["way"]
         )
         self.exchange_bytes = exchange_bytes.labels("out"), exchange_bytes.labels("in")
-        self.lowered_endpoints = Gauge(
-            "woadyard_endpoints_lowered", "Endpoints that others' verdicts lower", registry=registry
+        self.lowered_endpoints = registry.gauge(
+            "woadyard_endpoints_lowered", "Endpoints that others' verdicts lower"
         )
-        zones = Counter("woadyard_zone_attempts", "Attempts by zone", ["zone"], registry=registry)
+        zones = registry.counter("woadyard_zone_attempts", "Attempts by zone", ["zone"])
         self.zones = zones.labels
-        self.violations = Counter(
-            "woadyard_invariant_violations", "Violations of invariants, by rule", ["rule"], registry=registry
+        self.violations = registry.counter(
+            "woadyard_invariant_violations", "Violations of invariants, by rule", ["rule"]
+        )
+        self.shares = registry.gauge("woadyard_shares", "Shares of limits held")
+        self.accept_failures = registry.counter(
+            "woadyard_accept_failures", "Failures to accept a client connection", ["error"]
         )
-        self.shares = Gauge("woadyard_shares", "Shares of limits held", registry=registry)
-        self.accept_failures = Counter(
-            "woadyard_accept_failures", "Failures to accept a client connection", ["error"],
-            registry=registry,
-        )  # fmt: skip
 
     def request_received(self) -> None:
         self.requests.inc()
@@ -207,4 +195,4 @@
         self.accept_failures.labels(error).inc()
 
     def render(self) -> str:
-        return generate_latest(self.registry).decode()
+        return self.registry.render()
