Bound what all connections hold together by the memory limit of the process

Cause: each connection had a bound of its own (64 KiB of body, as much of head, 32 KiB to read and to write) and their number another; nothing bounded the product, and `limits.memory_mb` was not read.

Change: MemoryBudget derives from the limit what the connections may hold together, and MemoryGuard counts it. If it is too much, requests that are incomplete get 503, those without progress for the longest time first; nothing that was forwarded loses its response. The share of one connection for reading and writing follows from the budget (4 to 32 KiB). Both processes of an upgrade share the limit.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -25,7 +25,8 @@
     wait_until,
 )
 from woadyard.net.client_connection import ClientConnection
-from woadyard.net.message import MAX_BUFFERED_BODY_BYTES, READ_SIZE
+from woadyard.net.memory_budget import MAX_BUFFER_BYTES
+from woadyard.net.message import MAX_BUFFERED_BODY_BYTES
 
 
 def write_and_close(raw: bytes) -> Callable[[Endpoint, Message, Writer], asyncio.Future[None]]:
@@ -170,7 +171,7 @@
         await wait_until(lambda: link.transport is not None and not link.transport.is_reading())
         (connection,) = proxy.server.connections
         assert connection.transport is not None
-        assert connection.transport.get_write_buffer_size() <= 4 * READ_SIZE
+        assert connection.transport.get_write_buffer_size() <= 4 * MAX_BUFFER_BYTES
         await wait_until(lambda: not proxy.server.connections and not proxy.upstream.endpoint_connections)
         assert not proxy.driver.calls, "it is aborted in the end"
 
@@ -190,7 +191,7 @@
         await wait_until(lambda: connection.is_reading_paused and not proxy.driver.calls)
         assert connection.transport is not None
         served_count, unwritten_bytes = len(endpoint.received), connection.transport.get_write_buffer_size()
-        assert served_count < 400 and unwritten_bytes <= MAX_BUFFERED_BODY_BYTES + 4 * READ_SIZE
+        assert served_count < 400 and unwritten_bytes <= MAX_BUFFERED_BODY_BYTES + 4 * MAX_BUFFER_BYTES
         reader._transport.resume_reading()  # type: ignore[attr-defined]
         for _ in range(400):
             assert len((await read_message(reader)).body) == MAX_BUFFERED_BODY_BYTES
@@ -222,6 +223,6 @@
         (connection,), (link,) = proxy.server.connections, proxy.upstream.endpoint_connections
         assert link.transport is not None
         await wait_until(lambda: connection.is_reading_paused)
-        assert link.transport.get_write_buffer_size() <= 4 * READ_SIZE
+        assert link.transport.get_write_buffer_size() <= 4 * MAX_BUFFER_BYTES
         release.set()
         assert (await pending_response).body == b"ok" and endpoint.received[0].body == LARGE_BODY * 16
--- a/tests/test_bad_bytes.py
+++ b/tests/test_bad_bytes.py
@@ -24,7 +24,7 @@
     run_sidecar,
     wait_until,
 )
-from woadyard.net.message import READ_SIZE
+from woadyard.net.memory_budget import MAX_BUFFER_BYTES
 
 
 def has_no_pending_work(proxy: Sidecar) -> bool:
@@ -165,7 +165,7 @@
         assert (await proxy.send(http_request(rid="other"))).body == b"ok"
         assert len(endpoint.received) < 1001, "it does not wait for all of them"
         (connection,) = (each for each in proxy.server.connections if each.pipelined)
-        assert len(connection.pipelined) <= READ_SIZE // len(http_request(rid="a0")), (
+        assert len(connection.pipelined) <= MAX_BUFFER_BYTES // len(http_request(rid="a0")), (
             "as many as one read holds"
         )
         for _ in range(1000):
@@ -229,7 +229,7 @@
         for _ in range(30):
             writer.write(GARBAGE)
             await writer.drain()
-        assert not connection.parser.body and connection.parser.bytes_since_request <= READ_SIZE, (
+        assert not connection.parser.body and connection.parser.bytes_since_request <= MAX_BUFFER_BYTES, (
             "none of it is parsed"
         )
         assert (await read_message(reader)).start_line.split()[1] in ("400", "413")
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -152,9 +152,9 @@
         await wait_until(lambda: bool(proxy.upstream.endpoint_connections))
         (connection,) = proxy.server.connections
         for offset in range(70_000, 70_000 + 5 * 40_000, 40_000):
-            previous_timer = connection.request_timer
+            previous_timer = connection.request_timer.handle
             await wait_until(
-                lambda previous_timer=previous_timer: connection.request_timer is not previous_timer  # type: ignore[misc]
+                lambda previous_timer=previous_timer: connection.request_timer.handle is not previous_timer  # type: ignore[misc]
             )
             writer.write(raw[offset : offset + 40_000])
             await wait_until(lambda offset=offset: connection.parser.body_size >= offset - 20_000)  # type: ignore[misc]
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -132,7 +132,7 @@
         _, newest_writer, newest = await open_connection(proxy)
         writer.write(sent)
         await wait_until(lambda: overdue.parser.is_reading == bool(sent))
-        overdue.awaiting_since_s -= 2 * TIMEOUT_S
+        overdue.request_timer.awaiting_since_s -= 2 * TIMEOUT_S
         assert (await proxy.send(http_request(rid="good"))).body == b"ok"
         assert await reader.read() == b"" and newest in proxy.server.connections
         idle_writer.write(http_request(rid="again"))
--- a/woadyard/net/client_connection.py
+++ b/woadyard/net/client_connection.py
@@ -11,11 +11,12 @@
 
 from woadyard.net.disconnects import DisconnectDetector, reset_connection
 from woadyard.net.event_dispatcher import now_us
-from woadyard.net.message import READ_SIZE, Call, EndpointStream, Response, Upload
+from woadyard.net.message import Call, Response, Upload
 from woadyard.net.request_head import BadRequestError, accept_request, serialize_response
 from woadyard.net.request_parser import RequestParser
-from woadyard.net.streamed_response import StreamedResponse
-from woadyard.net.timeouts import MAX_STALLED_CHECKS, MAX_UPLOAD_US, MIN_BODY_PROGRESS_BYTES
+from woadyard.net.request_timer import RequestTimer
+from woadyard.net.response_writer import ResponseWriter
+from woadyard.net.timeouts import MAX_UPLOAD_US
 
 if TYPE_CHECKING:
     from woadyard.net.server import Server
@@ -23,35 +24,25 @@
 LOG = logging.getLogger(__name__)
 
 
-class ClientConnection(asyncio.BufferedProtocol):
+class ClientConnection(ResponseWriter):
     """Protocol of one client connection. Pipelined requests are served one after the other."""
 
     def __init__(self, server: Server) -> None:
-        self.server, self.loop = server, server.driver.loop
+        super().__init__(server)
+        self.parser = RequestParser(self, server.read_headers)
         self.requests = server.driver.requests
-        self.transport: asyncio.Transport | None = None
         self.detector: DisconnectDetector | None = None
-        self.call: Call | None = None  # being served
-        self.upload: Upload | None = None  # the body of `call`, until it is complete
-        self.streamed_response: StreamedResponse | None = None
         self.pipelined: deque[tuple[Call | Response, bool]] = deque()  # with whether to keep the connection
         self.bytes_ahead = 0  # read since no request was pipelined
-        self.keep_alive = True
         self.is_rejected = False  # nothing more is read; requests before it are still served
-        self.is_closed = False  # nothing more is read or written
-        self.parser = RequestParser(self, server.read_headers)
         self.is_upload_paused = self.is_reading_paused = False  # by the endpoint, and for any reason
-        self.is_writing_paused = False  # the client does not read its responses
-        self.stall_timer: asyncio.TimerHandle | None = None  # runs meanwhile
         self.discards_body = False  # after an early response
-        self.request_timer: asyncio.TimerHandle | None = None  # runs while a request is awaited
-        self.awaiting_since_s = 0.0  # on the event loop's clock, while `request_timer` runs
-        self.stalled_checks = 0  # in a row, of a body that its endpoint does not accept
-        self.last_checked_size = 0  # of the body
+        self.request_timer = RequestTimer(self.loop, server.timeouts, self)
+        self.last_read_s = 0.0  # on the event loop's clock
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.transport.set_write_buffer_limits(high=READ_SIZE)
+        self.transport.set_write_buffer_limits(high=self.server.memory.buffer_bytes)
         self.detector = DisconnectDetector(self.transport)
         self.server.connection_opened(self)
         self._update_request_timer()
@@ -62,6 +53,7 @@
             self.stall_timer.cancel()
         self.server.connection_closed(self)
         self.parser.close()
+        self.request_timer.close()
 
     # --- Disconnects ----------------------------------------------------------------
 
@@ -101,12 +93,14 @@
     # --- Reading --------------------------------------------------------------------
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.server.read_buffer
+        return self.server.read_buffer[: self.server.memory.buffer_bytes]
 
     def buffer_updated(self, size: int) -> None:
         if not (self.is_closed or self.is_rejected):
             self.bytes_ahead += size
+            self.last_read_s = self.loop.time()
             self.receive(bytes(self.server.read_buffer[:size]))
+            self.server.memory.bytes_received(size)
 
     def receive(self, data: bytes) -> None:
         self.server.idle_since.pop(self, None)
@@ -126,32 +120,44 @@
         self._update_request_timer()
 
     def _update_request_timer(self) -> None:
-        """Run the timer while a request is awaited. Further bytes of a head do not extend it:
-        a client that sends them one by one would never time out."""
         is_due = bool(self.upload) or not (self.call or self.pipelined)
         awaits = is_due and not (self.is_closed or self.streamed_response or self in self.server.idle_since)
-        if awaits and self.request_timer is None:
-            self.last_checked_size, self.awaiting_since_s = 0, self.loop.time()
-            self.request_timer = self.loop.call_later(self.server.timeouts.request_s, self._request_timed_out)
-        elif not awaits and self.request_timer is not None:
-            self.request_timer.cancel()
-            self.request_timer = None
-
-    def _request_timed_out(self) -> None:
-        self.request_timer = None
-        new_bytes = self.parser.body_size - self.last_checked_size
-        if self.parser.in_body and (self.is_reading_paused or new_bytes >= MIN_BODY_PROGRESS_BYTES):
-            # While reading is paused, the endpoint holds up the body, which is its own failure.
-            self.stalled_checks = self.stalled_checks + 1 if self.is_reading_paused and not new_bytes else 0
-            self.last_checked_size = self.parser.body_size
-            self.request_timer = self.loop.call_later(self.server.timeouts.body_s, self._request_timed_out)
-            if self.stalled_checks >= MAX_STALLED_CHECKS and self.call is not None:
-                self.requests.upload_stalled(self.call)
-        elif self.parser.is_reading and not self.discards_body:
+        self.request_timer.set_running(awaits)
+
+    def request_timed_out(self) -> None:
+        if self.parser.is_reading and not self.discards_body:
             self.reject(BadRequestError(408, "the request was not complete in time"))
         else:
             self.server.close_connection(self)
 
+    def upload_stalled(self) -> None:
+        if self.call is not None:
+            self.requests.upload_stalled(self.call)
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of requests and responses that the connection holds."""
+        held = self.parser.held_bytes + sum(accepted.held_bytes for accepted, _ in self.pipelined)
+        if self.call is not None:
+            held += self.call.held_bytes
+        return held + (self.transport.get_write_buffer_size() if self.transport is not None else 0)
+
+    @property
+    def is_request_incomplete(self) -> bool:
+        """Whether it holds the beginning of a request that is not being forwarded, and nothing else."""
+        is_serving = self.call is not None or bool(self.pipelined) or self.streamed_response is not None
+        is_ended = self.is_closed or self.is_rejected or self.discards_body
+        return self.parser.is_reading and not (is_serving or is_ended)
+
+    def reject_incomplete(self) -> None:
+        """Respond with 503, and keep nothing of the request."""
+        self.parser.discard()
+        if self.parser.in_body:
+            self._respond_early(self.server.reject_request())
+        else:
+            self.is_rejected = True
+            self._write_last(self.server.reject_request())
+
     def on_expect_continue(self) -> None:
         # Never in the middle of a response: clients wait for 100 Continue only for a moment.
         if self.call is None and not self.pipelined and self.transport is not None:
@@ -216,7 +222,7 @@
         # read ahead all the same, to notice the half-close of a client that sends much and disconnects.
         self.bytes_ahead = self.bytes_ahead if self.pipelined else 0
         is_next_large = self.call is not None and self.upload is None and self.parser.has_large_body
-        is_ahead = is_next_large or self.bytes_ahead >= READ_SIZE
+        is_ahead = is_next_large or self.bytes_ahead >= self.server.memory.buffer_bytes
         pauses = not self.is_closed and (is_ahead or (self.is_upload_paused and self.upload is not None))
         if pauses != self.is_reading_paused:
             self.is_reading_paused = pauses
@@ -270,65 +276,6 @@
         if self.pipelined or self.parser.has_large_body:
             self.loop.call_soon(self._continue_serving)
 
-    def begin_response(self, response: Response, length: int | None, source: EndpointStream) -> None:
-        """Write the head and the first part of a streamed response."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        is_chunked = length is None and not self.parser.is_http_10
-        self.keep_alive &= length is not None or is_chunked
-        framing = b"Transfer-Encoding: chunked\r\n" if is_chunked else b""
-        if length is not None:
-            framing = b"Content-Length: %d\r\n" % length
-        close = b"" if self._stays_open() else b"Connection: close\r\n"
-        self.transport.write(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (framing, response.header_lines, close))
-        stall_s = self.server.timeouts.stall_s
-        self.streamed_response = StreamedResponse(self.loop, self.transport, source, is_chunked, stall_s)
-        if response.body:
-            self.streamed_response.send_part(response.body)
-        self._update_request_timer()
-        self.streamed_response.check_progress()
-
-    def send_body_part(self, data: bytes) -> None:
-        if self.streamed_response is not None:
-            self.streamed_response.send_part(data)
-
-    def end_response(self, is_complete: bool) -> None:
-        """End a streamed response; if it is incomplete, the connection is reset to show that."""
-        self.call = None
-        if self.streamed_response is not None:
-            self.streamed_response.finish(is_complete)
-            self.streamed_response = None
-        if self.transport is None or self.transport.is_closing():
-            return
-        if not is_complete:
-            self.is_closed = True
-            reset_connection(self.transport)
-            return
-        if self.is_writing_paused:  # the unwritten rest is still subject to the timeout
-            self.pause_writing()
-        self._response_written(self._stays_open() and self.upload is None)
-        self._schedule_next()
-
-    def pause_writing(self) -> None:
-        """Bounds memory: a client that does not read is not served, and is aborted after a while."""
-        self.is_writing_paused = True
-        if self.streamed_response is not None:
-            self.streamed_response.source.set_reading_paused(True)
-        elif self.transport is not None and self.stall_timer is None:
-            self.stall_timer = self.loop.call_later(
-                self.server.timeouts.stall_s, self.server.abort_connection, self
-            )
-
-    def resume_writing(self) -> None:
-        self.is_writing_paused = False
-        if self.stall_timer is not None:
-            self.stall_timer.cancel()
-            self.stall_timer = None
-        if self.streamed_response is not None:
-            self.streamed_response.source.set_reading_paused(False)
-        else:
-            self._schedule_next()
-
     def _stays_open(self) -> bool:
         """Whether the connection is kept: requests pipelined before a rejected one are still served."""
         return self.keep_alive and (bool(self.pipelined) or not (self.is_rejected or self.server.is_draining))
@@ -373,25 +320,12 @@
             self.transport.write(serialize_response(response, False))
         self._linger()
 
-    def _linger(self) -> None:
-        """Discard input for a while before the close: with unread bytes it would reset the responses."""
-        self.is_closed, self.keep_alive = True, False
-        self._update_request_timer()
-        if self.transport is None or self.transport.is_closing():
-            return
-        self._update_reading()
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
-        self.server.mark_lingering(self)
-        timeouts = self.server.timeouts  # a response that is read slowly gets its time
-        self.loop.call_later(
-            timeouts.linger_s if self.is_flushed else timeouts.stall_s, self.server.abort_connection, self
-        )
+    def abort(self) -> None:
+        """Close the connection at once, discarding what is unwritten."""
+        self.server.abort_connection(self)
 
-    @property
-    def is_flushed(self) -> bool:
-        """Whether all responses were handed to the system."""
-        return self.transport is not None and not self.transport.get_write_buffer_size()
+    def _mark_lingering(self) -> None:
+        self.server.mark_lingering(self)
 
     def respond_before_exit(self) -> None:
         """The process ends: respond now to the request being served, or being received."""
--- a/woadyard/net/config.py
+++ b/woadyard/net/config.py
@@ -13,6 +13,7 @@
 
 from woadyard.errors import ConfigError, WoadyardError
 from woadyard.interface import Locality, Settings
+from woadyard.net.memory_budget import MEGABYTE
 from woadyard.sections import read_section
 from woadyard.shared.settings import SharedSettings, read_shared
 from woadyard.wire import WireError, read_settings
@@ -66,6 +67,7 @@
     discovery: str
     seed: int
     max_sockets: int
+    memory_limit_bytes: int | None  # of resident memory; None if the file names no limit
     settings: Settings
     known_list: dict[str, Any] | None
     state_file: Path | None  # state kept over restarts; None if none is kept
@@ -93,6 +95,16 @@
     return addresses
 
 
+def read_memory_limit(raw: dict[str, Any]) -> int | None:
+    """Return the memory limit in bytes, or None without one; ConfigError if it is no positive number."""
+    limit_mb = raw.get("limits", {}).get("memory_mb")
+    if limit_mb is None:
+        return None
+    if not isinstance(limit_mb, int | float) or not 0 < limit_mb < inf:
+        raise ConfigError(f"limits.memory_mb must be a number above 0, got {limit_mb!r}")
+    return int(limit_mb * MEGABYTE)
+
+
 def state_file_path(environ: dict[str, str], raw: dict[str, Any]) -> Path | None:
     """Return the path of the state file, named after the sidecar, as several may share the directory."""
     directory, name = environ.get("TMPDIR"), str(environ.get("LB_NAME") or raw.get("name", ""))
@@ -129,6 +141,7 @@
             discovery=discovery,
             seed=int(str(raw.get("seed", "0")), 16),
             max_sockets=int(raw.get("limits", {}).get("sockets", DEFAULT_SOCKETS)),
+            memory_limit_bytes=read_memory_limit(raw),
             settings=read_settings(json.dumps(raw["settings"]).encode()),
             known_list=known_list,
             state_file=state_file_path(environ, raw) if console else None,
--- a/woadyard/net/endpoint_connection.py
+++ b/woadyard/net/endpoint_connection.py
@@ -16,6 +16,7 @@
 from woadyard.interface import ERROR, FULL, MOOT, NO_CONNECT, OK, RESET
 from woadyard.net.acceptor import DESCRIPTOR_ERRORS
 from woadyard.net.header_fields import FRAMING_HEADERS, FramingError, HeaderFields
+from woadyard.net.memory_guard import MemoryGuard
 from woadyard.net.message import (
     LAST_CHUNK,
     MAX_BUFFERED_BODY_BYTES,
@@ -34,6 +35,7 @@
 
     loop: asyncio.AbstractEventLoop
     read_buffer: memoryview
+    memory: MemoryGuard
     connect_timeout_s: float
 
     def now(self) -> int: ...
@@ -238,10 +240,17 @@
     # --- Responses ----------------------------------------------------------------
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.owner.read_buffer
+        return self.owner.read_buffer[: self.owner.memory.buffer_bytes]
 
     def buffer_updated(self, size: int) -> None:
         self.feed_response(bytes(self.owner.read_buffer[:size]))
+        self.owner.memory.bytes_received(size)
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of requests and responses that the connection holds."""
+        held = self.headers.size + len(self.body)
+        return held + (self.transport.get_write_buffer_size() if self.transport is not None else 0)
 
     def eof_received(self) -> None:
         """End of stream delimits a body that has neither a length nor chunks."""
@@ -294,16 +303,20 @@
         if status >= 200:
             self.content_length, self.is_chunked = self.headers.framing()
             self.status = status
-            if (self.content_length or 0) > MAX_BUFFERED_BODY_BYTES:
+            if (self.content_length or 0) > self._max_buffered_body:
                 self._begin_relay()
 
     def on_body(self, data: bytes) -> None:
         self.body_size += len(data)
         self.bytes_since_body = 0
         self.body += data
-        if self.body_size > MAX_BUFFERED_BODY_BYTES and not self.is_relaying:
+        if self.body_size > self._max_buffered_body and not self.is_relaying:
             self._begin_relay()
 
+    @property
+    def _max_buffered_body(self) -> int:
+        return self.owner.memory.max_buffered_body(MAX_BUFFERED_BODY_BYTES)
+
     def _take_body(self) -> bytes:
         body = bytes(self.body)
         self.body = bytearray()
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -13,8 +13,6 @@
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
 # The largest bodies that clients send are 32 MB.
 MAX_BODY_BYTES = 48 * 1024 * 1024
-# Bytes per read; a streaming connection buffers a small multiple of it.
-READ_SIZE = 32 * 1024
 
 
 def encode_chunk(data: bytes) -> bytes:
@@ -32,6 +30,11 @@
     header_lines: bytes = b""
     body: bytes = b""
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that it takes, about."""
+        return len(self.header_lines) + len(self.body)
+
 
 class EndpointStream(Protocol):
     """An endpoint connection, as seen by the sources of the request bodies it carries."""
@@ -119,6 +122,12 @@
     attempts: list[Attempt] = field(default_factory=list)
     timer: TimerHandle | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that it takes, about."""
+        buffered = len(self.upload.buffered) if self.upload is not None else 0
+        return len(self.method_and_target) + len(self.header_lines) + len(self.body) + buffered
+
 
 class Attempt:
     """One attempt of a call at an endpoint. Times are on the driver's clock, in µs."""
--- a/woadyard/net/request_head.py
+++ b/woadyard/net/request_head.py
@@ -10,6 +10,7 @@
 from woadyard.interface import SAFE
 from woadyard.net.driver import Driver
 from woadyard.net.header_fields import FRAMING_HEADERS, HeaderFields
+from woadyard.net.memory_budget import MIN_BUFFER_BYTES
 from woadyard.net.message import Call, ClientStream, Response
 
 if TYPE_CHECKING:
@@ -122,7 +123,8 @@
     )
     server.claim_request_id(request_id(parser.headers), call.expires_us)
     call.body = parser.take_body()
-    return call if not server.rejects_requests else server.reject_request()
+    is_too_large = server.memory.is_full and call.held_bytes > MIN_BUFFER_BYTES
+    return server.reject_request() if server.rejects_requests or is_too_large else call
 
 
 def serialize_response(response: Response, keep_alive: bool) -> bytes:
--- a/woadyard/net/request_parser.py
+++ b/woadyard/net/request_parser.py
@@ -88,15 +88,24 @@
         """Whether the body being received is too large to buffer."""
         return self.in_body and max(self.body_size, self.content_length or 0) > MAX_BUFFERED_BODY_BYTES
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that it holds of the request that is being parsed."""
+        return len(self.target) + self.headers.size + len(self.body)
+
     def take_body(self) -> bytes:
         """Return what was received of the body since the last call, and keep none of it."""
         body = bytes(self.body)
         self.body = bytearray()
         return body
 
+    def discard(self) -> None:
+        """Keep nothing of what was parsed of the request."""
+        self.target, self.headers, self.body = b"", NO_FIELDS, bytearray()
+
     def finish_request(self) -> None:
-        """Keep nothing of the request: the connection may rest for long."""
-        self.target, self.headers = b"", NO_FIELDS
+        """End the request, and keep nothing of it: the connection may rest for long."""
+        self.discard()
         self.in_body, self.is_reading, self.bytes_since_request = False, False, 0
 
     # --- Callbacks of httptools -----------------------------------------------------
--- /dev/null
+++ b/woadyard/net/request_timer.py
@@ -0,0 +1,73 @@
+"""Bounds how long a client may take for a request: its head, and each part of its body."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from woadyard.net.request_parser import RequestParser
+from woadyard.net.timeouts import MAX_STALLED_CHECKS, MIN_BODY_PROGRESS_BYTES, Timeouts
+
+
+class RequestReader(Protocol):
+    """The connection whose request is awaited."""
+
+    parser: RequestParser
+    is_reading_paused: bool
+
+    def request_timed_out(self) -> None:
+        """The request, or the next part of its body, did not arrive in time."""
+
+    def upload_stalled(self) -> None:
+        """The endpoint accepts nothing more of the body."""
+
+
+class RequestTimer:
+    """Runs while a request is awaited.
+
+    Further bytes of a head do not extend it: a client that sends them one by one would never time
+    out.
+    """
+
+    __slots__ = (
+        "awaiting_since_s", "handle", "last_checked_size", "loop", "reader", "stalled_checks", "timeouts",
+    )  # fmt: skip
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, timeouts: Timeouts, reader: RequestReader) -> None:
+        self.loop, self.timeouts, self.reader = loop, timeouts, reader
+        self.handle: asyncio.TimerHandle | None = None
+        self.awaiting_since_s = 0.0  # on the event loop's clock, while it runs
+        self.stalled_checks = 0  # in a row, of a body that its endpoint does not accept
+        self.last_checked_size = 0  # of the body
+
+    @property
+    def is_running(self) -> bool:
+        return self.handle is not None
+
+    def set_running(self, is_awaiting: bool) -> None:
+        """Start the timer if a request is awaited and it does not run, or stop it."""
+        if is_awaiting and self.handle is None:
+            self.last_checked_size, self.awaiting_since_s = 0, self.loop.time()
+            self.handle = self.loop.call_later(self.timeouts.request_s, self._check)
+        elif not is_awaiting and self.handle is not None:
+            self.handle.cancel()
+            self.handle = None
+
+    def close(self) -> None:
+        """Break the reference cycle with the connection."""
+        self.set_running(False)
+        del self.reader
+
+    def _check(self) -> None:
+        self.handle = None
+        parser, is_paused = self.reader.parser, self.reader.is_reading_paused
+        new_bytes = parser.body_size - self.last_checked_size
+        if not (parser.in_body and (is_paused or new_bytes >= MIN_BODY_PROGRESS_BYTES)):
+            self.reader.request_timed_out()
+            return
+        # While reading is paused, the endpoint holds up the body, which is its own failure.
+        self.stalled_checks = self.stalled_checks + 1 if is_paused and not new_bytes else 0
+        self.last_checked_size = parser.body_size
+        self.handle = self.loop.call_later(self.timeouts.body_s, self._check)
+        if self.stalled_checks >= MAX_STALLED_CHECKS:
+            self.reader.upload_stalled()
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -11,7 +11,8 @@
 from woadyard.net.client_connection import ClientConnection
 from woadyard.net.disconnects import PausedClients
 from woadyard.net.driver import Driver
-from woadyard.net.message import READ_SIZE, Response
+from woadyard.net.memory_budget import MAX_BUFFER_BYTES
+from woadyard.net.message import Response
 from woadyard.net.request_head import MAX_U63, READ_HEADERS, BadRequestError
 from woadyard.net.timeouts import Timeouts
 
@@ -63,8 +64,10 @@
         self.reserved_fds = reserved_fds  # what each process opens besides
         self.socket_share = 1.0  # of the sockets of all processes of this sidecar
         self.shortage_timer: asyncio.TimerHandle | None = None  # runs while descriptors are short
-        self.read_buffer = memoryview(bytearray(READ_SIZE))  # shared: one connection reads at a time
+        self.memory = driver.upstream.memory
+        self.read_buffer = memoryview(bytearray(MAX_BUFFER_BYTES))  # shared: one connection reads at a time
         self.connections: dict[ClientConnection, None] = {}  # oldest first
+        self.memory.clients = self.connections
         # On the event loop's clock, the longest time ago first.
         self.idle_since: dict[ClientConnection, float] = {}
         self.lingering_since: dict[ClientConnection, float] = {}  # the last response was written
@@ -190,6 +193,7 @@
         descriptors that each needs besides the sockets of clients and endpoints.
         """
         self.socket_share = share
+        self.memory.set_process_share(share)
         self._set_max_sockets(int((self.total_sockets + self.reserved_fds) * share) - self.reserved_fds)
 
     def _set_max_sockets(self, max_sockets: int) -> None:
@@ -256,8 +260,8 @@
             now - self.timeouts.overload_request_s,
         )
         yield from (c for c, since_s in self.lingering_since.items() if since_s <= linger_limit_s)
-        awaited = (c for c in self.connections if c.request_timer is not None and c.call is None)
-        overdue = [c for c in awaited if c.awaiting_since_s <= request_limit_s]
+        awaited = (c for c in self.connections if c.request_timer.is_running and c.call is None)
+        overdue = [c for c in awaited if c.request_timer.awaiting_since_s <= request_limit_s]
         yield from (c for c in overdue if not c.parser.is_reading)
         yield from (c for c, since_s in self.idle_since.items() if since_s <= request_limit_s)
         yield from overdue
--- a/woadyard/net/upstream.py
+++ b/woadyard/net/upstream.py
@@ -10,7 +10,9 @@
 
 from woadyard.interface import MOOT, NO_CONNECT
 from woadyard.net.endpoint_connection import ConnectionPool, EndpointConnection
-from woadyard.net.message import READ_SIZE, Attempt, Response
+from woadyard.net.memory_budget import MAX_BUFFER_BYTES
+from woadyard.net.memory_guard import MemoryGuard
+from woadyard.net.message import Attempt, Response
 
 # Fraction of an endpoint's idle timeout for which a connection is kept. The rest is a
 # margin against sending a request while the endpoint closes the connection.
@@ -44,7 +46,8 @@
         self.sweep_timer: asyncio.TimerHandle | None = None
         self.set_timeouts(0, 0)
         # Shared by all connections: only one reads at a time.
-        self.read_buffer = memoryview(bytearray(READ_SIZE))
+        self.read_buffer = memoryview(bytearray(MAX_BUFFER_BYTES))
+        self.memory = MemoryGuard(self.endpoint_connections)
         self.on_outcome: OutcomeCallback = lambda *_: None
         self.begin_relay: Callable[[Attempt, Response, int | None], bool] = lambda *_: False
         self.may_start: Callable[[Attempt, int], bool] = lambda *_: True
--- a/woadyard/sidecar.py
+++ b/woadyard/sidecar.py
@@ -30,6 +30,7 @@
 )
 from woadyard.net.discovery import Discovery
 from woadyard.net.driver import Driver
+from woadyard.net.memory_budget import MemoryBudget, resident_bytes
 from woadyard.net.server import Server
 from woadyard.net.state import SYNC_INTERVAL_S, ProcessSlots
 from woadyard.net.threaded_http import RESERVED_DESCRIPTORS, HttpError, Route, Routes, ThreadedHttpServer
@@ -300,6 +301,9 @@
     admin_listener = open_admin_listener(config, server, slots, guard, recorder)
     if reporter is not None:
         reporter.open()
+    if config.memory_limit_bytes is not None:
+        budget = MemoryBudget(config.memory_limit_bytes, resident_bytes())
+        upstream.memory.set_budget(budget, socket_limit)
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, server.stop, stopped.set)
     loop.add_signal_handler(signal.SIGINT, server.stop, stopped.set)
