Pace the requests of a connection that are answered at once

Cause: a read of 32 KiB holds some 300 such requests, the event loop reads up to 32 times in a row, and all were answered before any other connection had its turn.

Change: after four immediate responses in a row a connection pauses for 10 ms, heads are read 4 KiB at a time, and no more than 8 KiB are parsed ahead.

test_requests_that_are_refused_at_once_do_not_hold_up_other_clients fails before: nothing of the flood is left once another client is answered.

--- a/tests/test_bad_bytes.py
+++ b/tests/test_bad_bytes.py
@@ -177,6 +177,26 @@
         await wait_until(lambda: not proxy.server.connections)
 
 
+@on_loop
+async def test_requests_that_are_refused_at_once_do_not_hold_up_other_clients() -> None:
+    """Guards against one connection whose small requests are all answered before any other has its turn."""
+    endpoint = Endpoint()
+    async with run_sidecar(endpoint) as proxy:
+        reader, writer = await proxy.connect()
+        count = 4000
+        writer.write(b"".join(http_request(rid=f"a{n}", deadline_ms=0) for n in range(count)))
+        assert (await read_message(reader)).start_line.split()[1] in ("503", "504")
+        (flooding,) = proxy.server.connections
+        remaining = []
+        for n in range(10):
+            assert (await proxy.send(http_request(rid=f"other-{n}"))).body == b"ok"
+            remaining.append(len(flooding.pipelined))
+        assert any(remaining), "its requests wait meanwhile"
+        assert len(endpoint.received) == 10
+        writer.transport.abort()
+        await wait_until(lambda: not proxy.server.connections)
+
+
 @on_loop
 async def test_a_large_body_waits_for_its_turn_behind_a_response_that_is_read_slowly() -> None:
     """There is a pending request before it, and the write buffer is full."""
--- a/woadyard/net/client_connection.py
+++ b/woadyard/net/client_connection.py
@@ -13,6 +13,7 @@
 from woadyard.net.event_dispatcher import now_us
 from woadyard.net.message import Call, Response, Upload
 from woadyard.net.request_head import BadRequestError, accept_request, serialize_response
+from woadyard.net.request_pacer import MAX_HEAD_READ_BYTES, MAX_READ_AHEAD_BYTES, RequestPacer
 from woadyard.net.request_parser import RequestParser
 from woadyard.net.request_timer import RequestTimer
 from woadyard.net.response_writer import ResponseWriter
@@ -38,6 +39,7 @@
         self.is_upload_paused = self.is_reading_paused = False  # by the endpoint, and for any reason
         self.discards_body = False  # after an early response
         self.request_timer = RequestTimer(self.loop, server.timeouts, self)
+        self.pacer = RequestPacer(self.loop)
         self.last_read_s = 0.0  # on the event loop's clock
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -54,6 +56,7 @@
         self.server.connection_closed(self)
         self.parser.close()
         self.request_timer.close()
+        self.pacer.close()
 
     # --- Disconnects ----------------------------------------------------------------
 
@@ -80,6 +83,7 @@
 
     def _cancel_requests(self) -> None:
         self.is_closed = True
+        self.pacer.close()
         self.pipelined.clear()
         self.server.paused_clients.discard(self)
         self._update_request_timer()
@@ -93,7 +97,10 @@
     # --- Reading --------------------------------------------------------------------
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.server.read_buffer[: self.server.memory.buffer_bytes]
+        # A large read of heads would be many requests, parsed before any other connection has its turn.
+        reads_heads = not (self.parser.in_body or self.is_closed or self.is_rejected)
+        size = MAX_HEAD_READ_BYTES if reads_heads else self.server.memory.buffer_bytes
+        return self.server.read_buffer[:size]
 
     def buffer_updated(self, size: int) -> None:
         if not (self.is_closed or self.is_rejected):
@@ -222,7 +229,7 @@
         # read ahead all the same, to notice the half-close of a client that sends much and disconnects.
         self.bytes_ahead = self.bytes_ahead if self.pipelined else 0
         is_next_large = self.call is not None and self.upload is None and self.parser.has_large_body
-        is_ahead = is_next_large or self.bytes_ahead >= self.server.memory.buffer_bytes
+        is_ahead = is_next_large or self.bytes_ahead >= MAX_READ_AHEAD_BYTES
         pauses = not self.is_closed and (is_ahead or (self.is_upload_paused and self.upload is not None))
         if pauses != self.is_reading_paused:
             self.is_reading_paused = pauses
@@ -235,18 +242,23 @@
 
     def serve_next(self) -> None:
         """Serve the oldest pipelined request, unless one is being served."""
-        while self.pipelined and self.call is None and not (self.is_closed or self.is_writing_paused):
+        while self.pipelined and self.call is None and not self._pauses_serving():
             accepted, self.keep_alive = self.pipelined.popleft()
             if isinstance(accepted, Response):
                 self._write_response(accepted)
             else:
                 self.call = accepted
                 self.requests.accept(accepted)
+            if not self.is_closed:
+                self.pacer.response_sent(is_immediate=self.call is None, on_resume=self._continue_serving)
         due = not (self.pipelined or self.is_closed or self.is_rejected or self.discards_body or self.upload)
         if due and self.parser.has_large_body and self.call is None:
             self._start_upload()
         self._update_reading()
 
+    def _pauses_serving(self) -> bool:
+        return self.is_closed or self.is_writing_paused or self.pacer.is_paused
+
     def _continue_serving(self) -> None:
         try:
             self.serve_next()
