Bound trailers and chunk extensions, which the HTTP parser kept without an end

Cause: the head of a request was bounded, and what follows its body was not; the HTTP parser joins the pieces of a trailer.

Change: bytes that are no part of the body are counted since the head or its latest part, as those of responses are, and beyond 64 KiB the request gets 431.

--- a/tests/test_bad_bytes.py
+++ b/tests/test_bad_bytes.py
@@ -25,6 +25,7 @@
     wait_until,
 )
 from woadyard.net.memory_budget import MAX_BUFFER_BYTES
+from woadyard.net.message import MAX_HEAD_BYTES
 
 
 def has_no_pending_work(proxy: Sidecar) -> bool:
@@ -177,6 +178,25 @@
         await wait_until(lambda: not proxy.server.connections)
 
 
+@pytest.mark.parametrize(
+    "endless", [b"0\r\nx: ", b"0\r\na:\r\n", b"3;"], ids=["trailer", "trailers", "extension"]
+)
+@on_loop
+async def test_what_follows_a_body_without_an_end_is_rejected_while_it_arrives(endless: bytes) -> None:
+    """Guards against a trailer that the HTTP parser buffers for as long as the client sends it."""
+    endpoint = Endpoint()
+    async with run_sidecar(endpoint) as proxy:
+        reader, writer = await proxy.connect()
+        head = http_request("pay").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        writer.write(
+            head + b"3\r\nabc\r\n" + endless + endless[3:] * MAX_HEAD_BYTES + b"y" * 2 * MAX_HEAD_BYTES
+        )
+        assert (await read_message(reader)).start_line.split()[1] == "431"
+        assert not endpoint.received and has_no_pending_work(proxy)
+        writer.close()
+        await wait_until(lambda: not proxy.server.connections)
+
+
 @on_loop
 async def test_requests_that_are_refused_at_once_do_not_hold_up_other_clients() -> None:
     """Guards against one connection whose small requests are all answered before any other has its turn."""
--- a/woadyard/net/request_parser.py
+++ b/woadyard/net/request_parser.py
@@ -33,6 +33,7 @@
         self.handler, self.read_headers = handler, read_headers
         self.http_parser = httptools.HttpRequestParser(self)
         self.bytes_since_request = 0  # since the end of the last whole request
+        self.bytes_since_body = 0  # since the head, or the latest part of the body
         self.has_begun = False  # the first request of the connection has
         self._reset()
 
@@ -52,9 +53,12 @@
         BadRequestError as their context if a callback of this class raised it.
         """
         self.bytes_since_request += len(data)
+        self.bytes_since_body += len(data)
         self.http_parser.feed_data(data)
         if not self.in_body and self.bytes_since_request > MAX_HEAD_BYTES:
             raise BadRequestError(431, "the request head is too large")
+        if self.in_body and self.bytes_since_body > MAX_HEAD_BYTES:  # the HTTP parser buffers a trailer
+            raise BadRequestError(431, "the trailers or a chunk's extensions are too large")
 
     def close(self) -> None:
         """Break the reference cycles of parser and handler, so that no garbage collection is needed."""
@@ -131,7 +135,7 @@
         self._count_head_bytes(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
-        self.in_body = True
+        self.in_body, self.bytes_since_body = True, 0
         try:
             length, is_chunked = self.headers.framing()
         except FramingError as error:
@@ -146,6 +150,7 @@
         if self.handler.is_closed:
             return
         self.body_size += len(data)
+        self.bytes_since_body = 0
         if self.body_size > MAX_BODY_BYTES:
             raise BadRequestError(413, "the request body is too large")
         self.body += data
