Remember the ids of requests that may have run, in a table of fixed size

Cause: up to 32,768 ids were kept as objects, some 350 bytes each, refused requests' as well, and the newest pushed out the oldest, among them ids that had run.

Change: a table of hashes, 256 KiB, whose entries say until when an id is remembered: while its request runs, and for 30 s and the client's own time after its end; not at all if no byte of it left for an endpoint.

Three tests that looked into the old dictionary ask the table the same questions now.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -30,6 +30,7 @@
     wait_until,
 )
 from woadyard.net.client_connection import ClientConnection
+from woadyard.net.request_ids import SET_SIZE, RequestIds
 from woadyard.net.threaded_http import MAX_CONNECTIONS
 
 
@@ -143,10 +144,10 @@
 
 
 @on_loop
-async def test_the_number_of_remembered_request_ids_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("woadyard.net.server.MAX_REMEMBERED_IDS", 3)
+async def test_the_number_of_remembered_request_ids_is_bounded() -> None:
     async with run_sidecar(Endpoint()) as proxy:
-        for n in range(5):
+        proxy.driver.requests.ids = ids = RequestIds(SET_SIZE)
+        for n in range(SET_SIZE + 2):
             assert (await proxy.send(http_request(rid=f"r{n}"))).body == b"ok"
         for invalid in (
             http_request("none", rid="bad"),
@@ -154,12 +155,27 @@
             http_request(deadline_ms=-1, rid="bad"),
         ):
             assert (await proxy.send(invalid)).start_line.split()[1][0] == "4"
-        assert list(proxy.server.request_ids) == [b"r2", b"r3", b"r4"], (
-            "the newest, and none of an invalid request"
-        )
+        known = [ids.is_known(b"r%d" % n, proxy.driver.now()) for n in range(SET_SIZE + 2)]
+        assert known == [False] * 2 + [True] * SET_SIZE, "the newest, and none of an invalid request"
+        assert not ids.is_known(b"bad", proxy.driver.now())
         assert (await proxy.send(http_request(rid="r4"))).start_line.split()[1] == "409"
 
 
+@on_loop
+async def test_requests_that_never_ran_displace_no_remembered_id() -> None:
+    """Guards against a flood of refused requests after which an id that has run may run again."""
+    endpoint = Endpoint()
+    async with run_sidecar(endpoint) as proxy:
+        proxy.driver.requests.ids = RequestIds(SET_SIZE)
+        assert (await proxy.send(http_request("pay", rid="ran"))).body == b"ok"
+        for n in range(5 * SET_SIZE):
+            refused = await proxy.send(http_request("pay", rid=f"refused-{n}", deadline_ms=0))
+            assert refused.start_line.split()[1] in ("503", "504")
+        assert (await proxy.send(http_request("pay", rid="ran"))).start_line.split()[1] == "409"
+        assert (await proxy.send(http_request("pay", rid="refused-0"))).body == b"ok", "it has never run"
+        assert len(endpoint.received) == 2
+
+
 @on_loop
 async def test_two_processes_together_stay_within_the_descriptor_limit() -> None:
     """Each has its own listener, discovery watch and admin listener besides the sockets of both sides."""
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -25,7 +25,7 @@
     serve_ok,
     wait_until,
 )
-from woadyard.net import server
+from woadyard.net import request_ids
 from woadyard.net.endpoint_connection import EndpointConnection
 from woadyard.wire import read_settings
 
@@ -263,7 +263,7 @@
 async def test_a_request_id_is_remembered_for_as_long_as_its_request_may_run(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(server, "REQUEST_ID_RETENTION_S", 0.05)
+    monkeypatch.setattr(request_ids, "RETENTION_US", 50_000)
     endpoint = Endpoint(never_respond)
     async with run_sidecar(endpoint) as proxy:
         change_settings(proxy, request_class("fragile", **{"deadline-us": 60_000_000}))
@@ -281,12 +281,13 @@
 
 @on_loop
 async def test_expired_request_ids_are_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server, "REQUEST_ID_RETENTION_S", 0.05)
+    monkeypatch.setattr(request_ids, "RETENTION_US", 50_000)
     endpoint = Endpoint()
     async with run_sidecar(endpoint) as proxy:
         for n in range(40):
             await proxy.send(http_request("pay", deadline_ms=30 if n else 60_000, rid=f"r{n}"))
         await asyncio.sleep(0.2)
         await proxy.send(http_request("pay", rid="last"))
-        assert set(proxy.server.request_ids) == {b"r0", b"last"}
+        now, ids = proxy.driver.now(), proxy.driver.requests.ids
+        assert [n for n in range(40) if ids.is_known(b"r%d" % n, now)] == [0] and ids.is_known(b"last", now)
         await wait_until_settled(proxy)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -11,6 +11,7 @@
     read_message,
     run_sidecar,
 )
+from woadyard.net.request_ids import RETENTION_US
 
 
 @pytest.mark.parametrize(
@@ -78,9 +79,9 @@
         ):
             assert (await proxy.send(duplicate)).start_line.split()[1] == "409"
         assert len(endpoint.received) == 1
-        proxy.server.request_ids[b"r1"] = proxy.driver.now() - 60_000_000, proxy.driver.now()
-        assert (await proxy.send(http_request("pay", rid="r2"))).body == b"ok"
-        assert list(proxy.server.request_ids) == [b"r2"], "r1 was forgotten after the retention time"
+        now, ids = proxy.driver.now(), proxy.driver.requests.ids
+        assert ids.is_known(b"r1", now + RETENTION_US // 2)
+        assert not ids.is_known(b"r1", now + 2 * RETENTION_US), "forgotten after the retention time"
 
 
 @on_loop
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -117,6 +117,7 @@
     work_us: int = 0
     is_retry: bool = False
     id: int = 0
+    request_id: bytes = b""  # as received
     received_us: int = 0  # on the driver's clock
     is_open: bool = True  # no final response yet, and the client is connected
     attempts: list[Attempt] = field(default_factory=list)
--- a/woadyard/net/request_head.py
+++ b/woadyard/net/request_head.py
@@ -19,6 +19,7 @@
 
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 MAX_U63 = 2**63
+MAX_REQUEST_ID_BYTES = 128
 READ_HEADERS = FRAMING_HEADERS | {
     b"expect", b"idempotency-key", b"x-class", b"x-cost-hint", b"x-deadline-ms", b"x-request-id", b"x-retry",
     b"x-tenant",
@@ -121,10 +122,25 @@
     call = parse_call(
         server.driver, parser.method, parser.target, parser.headers, client, server.responses_due_us
     )
-    server.claim_request_id(request_id(parser.headers), call.expires_us)
+    is_too_large = server.memory.is_full and parser.held_bytes > MIN_BUFFER_BYTES
+    if server.rejects_requests or is_too_large:
+        return server.reject_request()
+    call.request_id = claim_request_id(server.driver, request_id(parser.headers))
     call.body = parser.take_body()
-    is_too_large = server.memory.is_full and call.held_bytes > MIN_BUFFER_BYTES
-    return server.reject_request() if server.rejects_requests or is_too_large else call
+    return call
+
+
+def claim_request_id(driver: Driver, request_id: bytes) -> bytes:
+    """Return the id; raise BadRequestError where it is invalid, or was claimed by another request.
+
+    Protects endpoints from duplicated requests: running one twice violates the rules on
+    repeats, and whichever endpoint responds to the duplicate is blamed for it.
+    """
+    if not 0 < len(request_id) <= MAX_REQUEST_ID_BYTES:
+        raise BadRequestError(400, "X-Request-Id is missing, duplicated or too long")
+    if not driver.requests.ids.claim(request_id, driver.now()):
+        raise BadRequestError(409, "X-Request-Id was used before")
+    return request_id
 
 
 def serialize_response(response: Response, keep_alive: bool) -> bytes:
--- a/woadyard/net/requests.py
+++ b/woadyard/net/requests.py
@@ -9,6 +9,7 @@
 from woadyard.interface import CANCELLED, NO_CONNECT, TIMEOUT, Arrival
 from woadyard.net.event_dispatcher import EventDispatcher, now_us
 from woadyard.net.message import Attempt, Call, Response
+from woadyard.net.request_ids import RequestIds
 from woadyard.net.weight_factors import SharedState
 
 
@@ -17,6 +18,7 @@
 
     def __init__(self, dispatcher: EventDispatcher, shared: SharedState | None) -> None:
         self.dispatcher, self.shared = dispatcher, shared
+        self.ids = RequestIds()
         self.calls: dict[int, Call] = {}
         self.next_id = 0
         # Ends an attempt with this outcome.
@@ -130,10 +132,18 @@
     def discard_if_finished(self, call: Call) -> None:
         """Forget a closed call without attempts in flight."""
         if not call.is_open and not any(attempt.in_flight for attempt in call.attempts):
-            self.calls.pop(call.id, None)
+            if self.calls.pop(call.id, None) is not None:
+                self._end_request_id(call)
             # Breaks the reference cycles, which only the garbage collector would free.
             call.attempts.clear()
 
+    def _end_request_id(self, call: Call) -> None:
+        """Remember the id for a while where the request may have run."""
+        if any(attempt.was_written for attempt in call.attempts):
+            self.ids.keep(call.request_id, now_us(), call.expires_us)
+        else:
+            self.ids.release(call.request_id, now_us())
+
     def open_call(self, request_id: int) -> Call | None:
         call = self.calls.get(request_id)
         return call if call is not None and call.is_open else None
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -13,7 +13,7 @@
 from woadyard.net.driver import Driver
 from woadyard.net.memory_budget import MAX_BUFFER_BYTES
 from woadyard.net.message import Response
-from woadyard.net.request_head import MAX_U63, READ_HEADERS, BadRequestError
+from woadyard.net.request_head import MAX_U63, READ_HEADERS
 from woadyard.net.timeouts import Timeouts
 
 # Clients get at most this share of the sockets: the rest is reserved for endpoints.
@@ -36,10 +36,6 @@
 # free some, and `SHORTAGE_S` later the usual limit is tried again.
 SHORTAGE_FAILURES, SHORTAGE_S = 5, 5.0
 MIN_SOCKETS = 16  # of clients and endpoints, however few descriptors there are
-# Request ids are remembered for this long, and for as long as the request may run.
-REQUEST_ID_RETENTION_S, MAX_REQUEST_ID_BYTES = 30.0, 128
-# Bounds the memory used by a flood of requests; the newest ids are kept.
-MAX_REMEMBERED_IDS = 32_768
 
 
 def shutdown_times(deadline_s: float) -> tuple[float, float]:
@@ -73,9 +69,6 @@
         self.lingering_since: dict[ClientConnection, float] = {}  # the last response was written
         self.paused_clients = PausedClients(driver.loop)
         self.sweep_timer: asyncio.TimerHandle | None = None
-        # By request id, oldest first: when it was claimed or last checked, and when its request
-        # expires, on the driver's clock in µs.
-        self.request_ids: dict[bytes, tuple[int, int]] = {}
         self.is_stopping = False  # SIGTERM was received
         self.is_shut_out = False  # by the audit: new requests are rejected, accepted ones finished
         self.is_draining = False  # connections are closed after their responses
@@ -113,28 +106,6 @@
         metrics.response_sent(503, 0)
         return Response(503, b"Retry-After: 1\r\n" if self.driver.settings.retry_after else b"")
 
-    def claim_request_id(self, request_id: bytes, expires_us: int) -> None:
-        """Raise BadRequestError where the id is invalid, or was claimed by another request.
-
-        Protects endpoints from duplicated requests: running one twice violates the rules on
-        repeats, and whichever endpoint responds to the duplicate is blamed for it.
-        """
-        if not 0 < len(request_id) <= MAX_REQUEST_ID_BYTES:
-            raise BadRequestError(400, "X-Request-Id is missing, duplicated or too long")
-        now = self.driver.now()
-        while (
-            self.request_ids
-            and (oldest := next(iter(self.request_ids.items())))[1][0] <= now - REQUEST_ID_RETENTION_S * 1e6
-        ):
-            del self.request_ids[oldest[0]]
-            if (expiry_us := oldest[1][1]) > now:
-                self.request_ids[oldest[0]] = now, expiry_us
-        if request_id in self.request_ids:
-            raise BadRequestError(409, "X-Request-Id was used before")
-        self.request_ids[request_id] = now, expires_us
-        if len(self.request_ids) > MAX_REMEMBERED_IDS:
-            del self.request_ids[next(iter(self.request_ids))]
-
     async def listen(self, host: str, port: int) -> int:
         """Listen on an address, and return the port, which the system picks for 0."""
         self.listener = self._create_acceptor(await open_listening_sockets(host, port, BACKLOG))
