Share the ids of requests that may have run with the other process of an upgrade

Reproduced with two processes of one sidecar: the same id, sent to the old one and, its client gone, to the new one, reached an endpoint twice.

Cause: each process remembered the ids in its own memory.

test_an_id_runs_once_in_the_two_processes_of_an_upgrade fails before (200 in place of 409 at the second process).

--- a/woadyard/net/request_ids.py
+++ b/woadyard/net/request_ids.py
@@ -1,17 +1,25 @@
 """The ids of requests that are running or may have run, so that none runs twice.
 
+The processes of a sidecar share them in a file, as a client may send an id again to the other one.
 A table of fixed size: a flood of ids takes no more memory, and ids of requests that never left for an
 endpoint are not kept at all. Times are in µs on the system's monotonic clock.
 """
 
 from __future__ import annotations
 
+import fcntl
+import logging
+import mmap
+import os
 import struct
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
 
 from xxhash import xxh3_64_intdigest
 
+LOG = logging.getLogger(__name__)
 # After its end a request is remembered for this long, and for as long as its client may wait.
 RETENTION_US = 30_000_000
 # A running one is, for as long as it may take to receive and to serve it.
@@ -31,14 +39,46 @@
     is_known: bool
 
 
+class FileLock:
+    """An exclusive lock between processes; the system releases it however its holder ends."""
+
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+
+    def __enter__(self) -> None:
+        fcntl.flock(self.descriptor, fcntl.LOCK_EX)
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        fcntl.flock(self.descriptor, fcntl.LOCK_UN)
+
+
 class RequestIds:
     """Remembers ids; the one that is to be forgotten first makes room for a new one."""
 
     def __init__(self, entry_count: int = ENTRY_COUNT) -> None:
         self.set_count = entry_count // SET_SIZE
         self.table = memoryview(bytearray(entry_count * ENTRY.size))
-        # Held against other processes that share the table.
-        self.lock: AbstractContextManager[None] = nullcontext()
+        self.lock: AbstractContextManager[None] = nullcontext()  # held for each use of the table
+
+    def share(self, path: Path) -> None:
+        """Use the table in this file, together with the other processes that do.
+
+        Where the file can't be used, the table stays in the memory of this process.
+        """
+        size = len(self.table)
+        try:
+            descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            lock = FileLock(descriptor)
+            with lock:
+                if os.fstat(descriptor).st_size != size:
+                    os.ftruncate(descriptor, size)
+                table = mmap.mmap(descriptor, size)
+        except (OSError, ValueError) as error:
+            LOG.warning("request ids are not shared", extra={"error": str(error)})
+            return
+        self.table, self.lock = memoryview(table), lock
 
     def claim(self, request_id: bytes, now: int) -> bool:
         """Remember a request that is about to run; False if the id is remembered already."""
--- a/woadyard/sidecar.py
+++ b/woadyard/sidecar.py
@@ -259,6 +259,8 @@
         loop, config.seed, config.settings, raw_settings, upstream,
         state=config.state_file, metrics=metrics, shared=shared_state, locality=config.locality,
     )  # fmt: skip
+    if config.state_file is not None:
+        driver.requests.ids.share(config.state_file.with_suffix(".ids"))
     guard = ShrinkGuard(config.max_list_shrink, driver.apply_list, loop.time)
     guard.on_held_change = driver.metrics.set_held_endpoints
     discovery = driver.discovery = Discovery(
