Pass on an answer without a length that still arrives at its deadline

Reproduced: answers of 70 to 140 kB without a length, at 88 kB/s, for clients that wait 800 ms: 504 at 0.80 s, and the endpoint's connection closed.

Cause: an answer without a length is buffered up to 64 KiB before it is passed on, and the deadline came first. Answers with a length, which are passed on from their head, and one of 220 kB, of which 64 KiB came in time, were whole; so it is not the check for stalls, nor the connection.

Change: 25 ms before the deadline such an answer is passed on as a stream, if a part of it came in the last 0.5 s; then no deadline cuts it off. One that has come to a halt times out as before, as it may never end. encode_request is a module of its own.

test_a_response_that_still_arrives_at_the_deadline_is_not_cut_off: four cases, 504 before, whole now.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -19,11 +19,13 @@
     http_request,
     http_response,
     on_loop,
+    read_chunks,
     read_message,
     record_outcomes,
     run_sidecar,
     wait_until,
 )
+from woadyard.net import endpoint_connection
 from woadyard.net.client_connection import ClientConnection
 from woadyard.net.memory_budget import MAX_BUFFER_BYTES
 from woadyard.net.message import MAX_BUFFERED_BODY_BYTES
@@ -101,6 +103,46 @@
         assert await reader.readexactly(len(LARGE_BODY) - 100) == LARGE_BODY[100:]
 
 
+@pytest.mark.parametrize("framing", ["Transfer-Encoding: chunked", "Connection: close"])
+@pytest.mark.parametrize("size", [30_000, 100_000])
+@on_loop
+async def test_a_response_that_still_arrives_at_the_deadline_is_not_cut_off(framing: str, size: int) -> None:
+    """Guards against a 504 in place of a long response without a length, of which little has come yet."""
+    deadline_passed = asyncio.Event()
+
+    async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        def encode(data: bytes) -> bytes:
+            return b"%x\r\n%b\r\n" % (len(data), data) if "chunked" in framing else data
+
+        writer.write(f"HTTP/1.1 200 OK\r\n{framing}\r\n\r\n".encode() + encode(LARGE_BODY[:20_000]))
+        await deadline_passed.wait()
+        writer.write(encode(LARGE_BODY[20_000:size]))
+        if "chunked" in framing:
+            writer.write(b"0\r\n\r\n")
+        writer.close()
+
+    async with run_sidecar(Endpoint(reply)) as proxy:
+        reader, writer = await proxy.connect()
+        writer.write(http_request("pay", deadline_ms=300))
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        (call,) = proxy.driver.calls.values()
+        assert call.timer is None
+        deadline_passed.set()
+        assert await read_chunks(reader) == LARGE_BODY[:size]
+
+
+@on_loop
+async def test_a_response_that_has_come_to_a_halt_times_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(endpoint_connection, "MAX_BODY_GAP_S", 0.0)
+
+    async def begin(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
+
+    async with run_sidecar(Endpoint(begin)) as proxy:
+        assert (await proxy.send(http_request("pay", deadline_ms=100))).start_line.split()[1] == "504"
+
+
 @pytest.mark.parametrize("form", ["length", "chunked", "close"])
 @on_loop
 async def test_the_client_notices_an_incomplete_response(form: str) -> None:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -27,7 +27,7 @@
     run_sidecar,
     wait_until,
 )
-from woadyard.net import disconnects, endpoint_connection
+from woadyard.net import disconnects, endpoint_connection, request_encoding
 from woadyard.net.endpoint_connection import EndpointConnection
 from woadyard.net.message import Attempt
 
@@ -145,7 +145,7 @@
             await wait_until(lambda: not proxy.server.connections)
         state = Scenario(proxy, endpoint, Client(proxy.port))
         await wait_until(lambda: bool(proxy.server.connections))
-        original_request_bytes = endpoint_connection.encode_request
+        original_request_bytes = request_encoding.encode_request
 
         def request_bytes(attempt: Attempt, now: int) -> bytes:
             state.sent.append(raw := original_request_bytes(attempt, now))
--- a/woadyard/net/endpoint_connection.py
+++ b/woadyard/net/endpoint_connection.py
@@ -26,7 +26,10 @@
     Upload,
     encode_chunk,
 )
+from woadyard.net.request_encoding import encode_request
 
+# A response whose next part takes longer than this is not arriving any more.
+MAX_BODY_GAP_S = 0.5
 READ_HEADERS = FRAMING_HEADERS | {b"x-load", b"x-not-run"}
 
 
@@ -92,6 +95,7 @@
     def _reset_response(self) -> None:
         self.headers = HeaderFields(READ_HEADERS)
         self.body = bytearray()  # received and not passed on yet
+        self.last_body_s = 0.0  # when a part of the body was received; loop time
         self.body_size = self.bytes_since_body = 0  # the latter: read since the last body byte
         self.status = 0  # 0 until the response head is complete
         self.content_length: int | None = None
@@ -310,9 +314,20 @@
         self.body_size += len(data)
         self.bytes_since_body = 0
         self.body += data
+        self.last_body_s = self.owner.loop.time()
         if self.body_size > self._max_buffered_body and not self.is_relaying:
             self._begin_relay()
 
+    def relay_arriving(self) -> bool:
+        """Stream a response of unknown length that is still arriving; return whether it is streamed.
+
+        One that has come to a halt may never end: it is left to the deadline of its request.
+        """
+        is_arriving = bool(self.body) and self.owner.loop.time() - self.last_body_s < MAX_BODY_GAP_S
+        if is_arriving and self.content_length is None and not self.is_relaying:
+            self._begin_relay()
+        return self.is_relaying
+
     @property
     def _max_buffered_body(self) -> int:
         return self.owner.memory.max_buffered_body(MAX_BUFFERED_BODY_BYTES)
@@ -370,25 +385,3 @@
             self.close()
         if attempt is not None:
             self.owner.on_outcome(attempt, outcome, response, load_report)
-
-
-def encode_request(attempt: Attempt, now: int) -> bytes:
-    """Encode the request head, and the body if it is buffered whole; `now` in µs."""
-    call, upload = attempt.call, attempt.call.upload
-    # Rounded down: the endpoint must not work on after the sidecar has stopped waiting.
-    wait_us = attempt.timeout_at_us - now if upload is None or upload.is_complete else call.timeout_us
-    deadline_header = b"X-Deadline-Ms: %d\r\n" % max(1, wait_us // 1000)
-    if upload is not None and upload.length is None:
-        length_header = b"Transfer-Encoding: chunked\r\n"
-    elif call.method_and_target.startswith(b"GET ") and not call.body and upload is None:
-        length_header = b""
-    else:
-        length_header = b"Content-Length: %d\r\n" % (len(call.body) if upload is None else upload.length or 0)
-    head = call.header_lines + attempt.extra_headers
-    return b"%b HTTP/1.1\r\n%b%b%b\r\n%b" % (
-        call.method_and_target,
-        head,
-        deadline_header,
-        length_header,
-        call.body,
-    )
--- a/woadyard/net/message.py
+++ b/woadyard/net/message.py
@@ -39,6 +39,9 @@
 class EndpointStream(Protocol):
     """An endpoint connection, as seen by the sources of the request bodies it carries."""
 
+    def relay_arriving(self) -> bool:
+        """Stream a response of unknown length that is still arriving; return whether it is streamed."""
+
     def send_body_part(self, data: bytes) -> None: ...
     def end_body(self) -> None: ...
     def set_reading_paused(self, paused: bool) -> None: ...
--- a/woadyard/net/requests.py
+++ b/woadyard/net/requests.py
@@ -12,6 +12,9 @@
 from woadyard.net.request_ids import RequestIds
 from woadyard.net.weight_factors import SharedState
 
+# How long before its client's deadline the beginning of a response of unknown length is passed on.
+RELAY_LEAD_US = 25_000
+
 
 class Requests:
     """The calls that are open or have attempts in flight, by request number."""
@@ -32,7 +35,7 @@
         self.calls[call.id] = call
         is_uploading = call.upload is not None and not call.upload.is_complete
         if not is_uploading:
-            call.timer = self.dispatcher.call_at(call.expires_us, self._expire, call)
+            self._start_timer(call)
         home = self.shared.affinity.home(call.affinity) if self.shared and call.affinity else None
         affinity = xxh3_64_intdigest(call.affinity) if call.affinity else 0
         event = Arrival(
@@ -49,7 +52,7 @@
             return
         call.expires_us = expires_us
         if call.streaming_attempt is None:
-            call.timer = self.dispatcher.call_at(expires_us, self._expire, call)
+            self._start_timer(call)
         for attempt in call.attempts:
             attempt.timeout_at_us = min(attempt.timeout_at_us, expires_us)
         self.dispatcher.dispatch(self.dispatcher.balancer.whole, call.id, expires_us, call=call)
@@ -80,6 +83,16 @@
             self.send_response(call, Response(504 if may_have_run else 503))
             self.dispatcher.dispatch(self.dispatcher.balancer.gone, call.id)
 
+    def _start_timer(self, call: Call) -> None:
+        call.timer = self.dispatcher.call_at(call.expires_us - RELAY_LEAD_US, self._about_to_expire, call)
+
+    def _about_to_expire(self, call: Call) -> None:
+        """Pass on a response that is still arriving: it may be a long one, whose beginning is in time."""
+        call.timer = self.dispatcher.call_at(call.expires_us, self._expire, call)
+        for attempt in call.attempts:
+            if attempt.in_flight and attempt.connection is not None and attempt.connection.relay_arriving():
+                return
+
     def _expire(self, call: Call) -> None:
         """The client's deadline: attempts in flight time out, and the balancer decides on the response."""
         for attempt in call.attempts:
