Reckon the deadline of a large request from when its last byte may have been written

Reproduced: bodies of 4 to 12 MB, written at once by clients that wait 800 ms, endpoints that read 64 kB/s to 2 MB/s: answers 1.3 to 10.95 s after the last byte was written.

Cause: the deadline ran from when the sidecar read that byte, and it does not read while the endpoint accepts nothing. Bodies that fit into the systems' buffers (up to 3 MB here) got their answer at 0.8 s, so it is not the deadline's timer; the check for stalls explains 5.46 s with endpoints at 64 kB/s, not the others.

Change: during an upload the process notes every 50 ms how much it has read and whether more waits in the socket, and takes as the time of the last byte the first one since which the client may have written it.

--- a/woadyard/net/disconnects.py
+++ b/woadyard/net/disconnects.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import termios
+from array import array
 from typing import Protocol
 
 # The other side has shut down its sending; reported also while unread bytes precede that.
@@ -45,6 +48,16 @@
     transport.abort()
 
 
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Return how many received bytes wait in the socket; 0 where the system does not tell."""
+    count = array("i", [0])
+    try:
+        fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
+    except OSError:
+        return 0
+    return count[0]
+
+
 class PausedClient(Protocol):
     """A client connection that is not being read."""
 
--- a/woadyard/net/requests.py
+++ b/woadyard/net/requests.py
@@ -63,6 +63,11 @@
         for attempt in [*call.attempts]:
             self.stop_attempt(attempt, NO_CONNECT)
 
+    def upload_overdue(self, call: Call) -> None:
+        """The client may have waited for its whole time since it wrote the last byte of its body."""
+        if call.is_open and call.streaming_attempt is None:
+            self._expire(call)
+
     def client_disconnected(self, call: Call) -> None:
         if not call.is_open:
             return
