Forward nothing of a client whose end may wait behind what it sent ahead

Reproduced: a client sends 300 kB to 1 MB of small requests and ends its sending; 138 of them were forwarded later than 0.1 s after that, up to the end of the trial at 3 s (5 and 6 where each takes 0.5 s).

Cause: the end of its sending comes behind its data, and with a full receive buffer it waits at the client, where no poll sees it. With 100 kB ahead it is seen, and a trial of sockets alone shows the same bound; a close or reset is noticed at the next response, by the client's reset, so these showed nothing.

Change: a receive buffer of 512 KiB for clients, and while over a third of it is taken nothing more is forwarded for its client: the connection reads on where it can, and else answers what waits with 503, which is harmless. The memory that the data takes in the buffer decides, not its size, as small pieces take many times that.

Tests: test_requests_ahead_... forwarded 4284 requests in place of one before; test_many_requests_ahead_... shows that a client that stays gets all its answers. test_bad_bytes.py and test_gone.py hold unchanged.

--- a/woadyard/net/client_connection.py
+++ b/woadyard/net/client_connection.py
@@ -69,11 +69,24 @@
         self.client_disconnected()
 
     def check_connected(self) -> bool:
-        """Called before each attempt; cancels all requests if the client has disconnected."""
-        if self.detector is not None and not self.detector.is_disconnected():
-            return True
-        self.client_disconnected()
-        return False
+        """Called before each attempt: whether the client is known to be connected.
+
+        Cancels all requests if it has disconnected. Where that can't be seen for all that it has sent
+        ahead, nothing is forwarded. A streamed body is expected to be ahead.
+        """
+        if self.detector is None or self.detector.is_disconnected():
+            self.client_disconnected()
+            return False
+        return not self._may_have_disconnected()
+
+    def _may_have_disconnected(self) -> bool:
+        """Whether the end of the client's sending may wait behind requests that are unread.
+
+        Of a streamed body much is unread as a rule.
+        """
+        if self.detector is None or self.upload is not None or self.parser.has_large_body:
+            return False
+        return self.detector.may_miss_disconnect()
 
     def client_disconnected(self) -> None:
         """Cancel all requests now: `connection_lost` is called only once earlier responses are written."""
@@ -111,6 +124,8 @@
             self.last_read_s = self.loop.time()
             self.receive(bytes(self.server.read_buffer[:size]))
             self.server.memory.bytes_received(size)
+        elif self.pipelined:  # the requests before a rejected one
+            self._continue_serving()
 
     def receive(self, data: bytes) -> None:
         self.server.idle_since.pop(self, None)
@@ -246,7 +261,8 @@
         # Also bounds the pipeline of a client that never waits for responses. A little is
         # read ahead all the same, to notice the half-close of a client that sends much and disconnects.
         self.bytes_ahead = self.bytes_ahead if self.pipelined else 0
-        is_next_large = self.call is not None and self.upload is None and self.parser.has_large_body
+        is_serving = self.call is not None or bool(self.pipelined)
+        is_next_large = is_serving and self.upload is None and self.parser.has_large_body
         is_ahead = is_next_large or self.bytes_ahead >= MAX_READ_AHEAD_BYTES
         pauses = not self.is_closed and (is_ahead or (self.is_upload_paused and self.upload is not None))
         if pauses != self.is_reading_paused:
@@ -260,10 +276,14 @@
 
     def serve_next(self) -> None:
         """Serve the oldest pipelined request, unless one is being served."""
+        self._update_reading()
         while self.pipelined and self.call is None and not self._pauses_serving():
             accepted, self.keep_alive = self.pipelined.popleft()
             if isinstance(accepted, Response):
                 self._write_response(accepted)
+            elif self._may_have_disconnected():
+                self.requests.release_id(accepted)
+                self._write_response(self.server.reject_request())
             else:
                 self.call = accepted
                 self.requests.accept(accepted)
@@ -275,7 +295,15 @@
         self._update_reading()
 
     def _pauses_serving(self) -> bool:
-        return self.is_closed or self.is_writing_paused or self.pacer.is_paused
+        if self.is_closed or self.is_writing_paused or self.pacer.is_paused:
+            return True
+        if not self.is_reading_paused:  # what is read next may tell whether the client has disconnected
+            return self._may_have_disconnected()
+        # Before a streamed body, of which little is read, a reset may tell.
+        if self.detector is None or not (self.parser.has_large_body and self.detector.awaits_reset()):
+            return False
+        self.loop.call_later(CHECK_INTERVAL_S, self._continue_serving)
+        return True
 
     def _continue_serving(self) -> None:
         try:
--- a/woadyard/net/disconnects.py
+++ b/woadyard/net/disconnects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import select
 import socket
@@ -16,6 +17,11 @@
 DISCONNECT_EVENTS = HALF_CLOSED | select.POLLHUP | select.POLLERR
 # For connections that are not read: an attempt may begin 0.1 s after its client disconnected.
 CHECK_INTERVAL_S = 0.05
+# Of the system, for what a client sends ahead. The end of its sending is seen behind what fits in; once a
+# buffer was full, the client's system may send the rest only when half of it is free again.
+RECEIVE_BUFFER_BYTES, VISIBLE_SHARE = 512 * 1024, 1 / 3
+# Linux: what a socket's buffers take, the receive buffer first.
+SO_MEMINFO, RECEIVE_MEMORY = 55, struct.Struct("=I")
 
 
 class DisconnectDetector:
@@ -25,11 +31,16 @@
     paused. Where the system has no POLLRDHUP, the event loop's report is all there is.
     """
 
-    __slots__ = ("poll", "transport")
+    __slots__ = ("max_unread_bytes", "poll", "transport")
 
     def __init__(self, transport: asyncio.Transport) -> None:
         self.transport, self.poll = transport, select.poll()
-        self.poll.register(transport.get_extra_info("socket").fileno(), HALF_CLOSED)
+        client_socket = transport.get_extra_info("socket")
+        self.poll.register(client_socket.fileno(), HALF_CLOSED)
+        with contextlib.suppress(OSError):
+            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        size = client_socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        self.max_unread_bytes = int(size * VISIBLE_SHARE)
 
     def is_disconnected(self) -> bool:
         if self.transport.is_closing():
@@ -40,6 +51,17 @@
             return False
         return bool(events) and bool(events[0][1] & DISCONNECT_EVENTS)
 
+    def may_miss_disconnect(self) -> bool:
+        """Whether so much is unread that the end of the client's sending may be waiting behind it."""
+        return receive_memory(self.transport) > self.max_unread_bytes
+
+    def awaits_reset(self) -> bool:
+        """Whether a client that may have closed its connection has not acknowledged all that was written.
+
+        Its system responds to the rest of a response with a reset.
+        """
+        return self.may_miss_disconnect() and _queued_bytes(self.transport, termios.TIOCOUTQ) > 0
+
 
 def reset_connection(transport: asyncio.Transport) -> None:
     """Abort a connection with a TCP reset, so that its client sees that the response is incomplete."""
@@ -50,9 +72,24 @@
 
 def unread_bytes(transport: asyncio.Transport) -> int:
     """Return how many received bytes wait in the socket; 0 where the system does not tell."""
+    return _queued_bytes(transport, termios.FIONREAD)
+
+
+def receive_memory(transport: asyncio.Transport) -> int:
+    """Return what received data takes of the socket's receive buffer, which for small pieces is far more
+    than their size; just their size where the system does not tell."""
+    with contextlib.suppress(OSError, struct.error):
+        raw = transport.get_extra_info("socket").getsockopt(
+            socket.SOL_SOCKET, SO_MEMINFO, RECEIVE_MEMORY.size
+        )
+        return int(RECEIVE_MEMORY.unpack(raw)[0])
+    return unread_bytes(transport)
+
+
+def _queued_bytes(transport: asyncio.Transport, queue: int) -> int:
     count = array("i", [0])
     try:
-        fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
+        fcntl.ioctl(transport.get_extra_info("socket").fileno(), queue, count)
     except OSError:
         return 0
     return count[0]
--- a/woadyard/net/requests.py
+++ b/woadyard/net/requests.py
@@ -155,12 +155,16 @@
             # Breaks the reference cycles, which only the garbage collector would free.
             call.attempts.clear()
 
+    def release_id(self, call: Call) -> None:
+        """Forget the id of a request that is not accepted after all."""
+        self.ids.release(call.request_id, now_us())
+
     def _end_request_id(self, call: Call) -> None:
         """Remember the id for a while where the request may have run."""
         if any(attempt.was_written for attempt in call.attempts):
             self.ids.keep(call.request_id, now_us(), call.expires_us)
         else:
-            self.ids.release(call.request_id, now_us())
+            self.release_id(call)
 
     def open_call(self, request_id: int) -> Call | None:
         call = self.calls.get(request_id)
