Bound the doublings of the backoff, which overflowed after 1,024 failures

Cause: `RETRY_SHARE * 2.0**failures` is capped after the power, which raises OverflowError from 1,024 on; the dispatcher drops the actions of that event, and with them the timer of the next call.

Change: the exponent is bounded.

test_discovery_is_called_again_however_many_calls_have_failed, with refused and with slow calls: OverflowError in both before, a call within 3 s after 3,000 failures now.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 from math import inf
 
+import pytest
+
 from tests.helpers import MS, SECOND, SETTINGS, Client, ready_entries, sends, started_balancer
 from woadyard.interface import (
     DRAINING,
@@ -205,6 +207,21 @@
     assert all(client.serve(65 * SECOND + n * 100 * MS, 5 * MS) for n in range(40))
 
 
+@pytest.mark.parametrize("call_us", [0, 2 * SECOND], ids=["refused at once", "slow"])
+def test_discovery_is_called_again_however_many_calls_have_failed(call_us: int) -> None:
+    """Guards against a backoff that overflows after 1,024 failures, and schedules no call any more."""
+    balancer = Balancer(1, replace(SETTINGS, asks_discovery=True, ask_within_us=3 * SECOND))
+    (timer,) = balancer.start(0, True, True)
+    now = 0
+    for _ in range(3000):
+        assert isinstance(timer, Timer)
+        now += timer.delay_us
+        balancer.timer(now, timer.token)
+        now += call_us
+        (timer,) = balancer.members(now, LIST_FAILED, [])
+    assert isinstance(timer, Timer) and timer.delay_us <= 3 * SECOND
+
+
 def test_a_cached_list_is_no_contact_with_discovery() -> None:
     """It may be old: it has no lease, and the backoff of slow calls stays as after any start."""
     balancer = Balancer(1, replace(SETTINGS, asks_discovery=True, ask_within_us=3 * SECOND))
--- a/woadyard/policy/backoff.py
+++ b/woadyard/policy/backoff.py
@@ -20,6 +20,12 @@
 SLOW_CALL_SHARE, MAX_SLOW_RETRY_SHARE, SLOW_RETRY_END_SHARE = 0.15, 0.85, 1.5
 # A large tier may go on doubling, up to this window for each of its sidecars.
 CROWD_US_PER_SIDECAR = 250_000
+# Of the share, whatever the number of failures: far beyond each cap, and a float can't hold 2**1024.
+MAX_DOUBLINGS = 32
+
+
+def _doubled_share(failures: int) -> float:
+    return float(RETRY_SHARE * 2.0 ** min(failures, MAX_DOUBLINGS))
 
 
 class DiscoveryBackoff:
@@ -49,16 +55,16 @@
             # The larger of two draws: most sidecars wait longer, and all are still spread out.
             self._call_within(max(self._slow_share(call_share), self._crowd_share()), 0.5)
         else:
-            self._call_within(min(MAX_RETRY_SHARE, RETRY_SHARE * 2.0**self.fast_failures))
+            self._call_within(min(MAX_RETRY_SHARE, _doubled_share(self.fast_failures)))
             self.fast_failures += 1
 
     def _slow_share(self, call_share: float) -> float:
         max_share = min(MAX_SLOW_RETRY_SHARE, max(RETRY_SHARE, SLOW_RETRY_END_SHARE - call_share))
-        return min(max_share, RETRY_SHARE * 2.0**self.slow_failures)
+        return min(max_share, _doubled_share(self.slow_failures))
 
     def _crowd_share(self) -> float:
         max_share = self.ctx.settings.instances * CROWD_US_PER_SIDECAR / self.ctx.settings.ask_within_us
-        return min(max_share, RETRY_SHARE * 2.0**self.slow_failures)
+        return min(max_share, _doubled_share(self.slow_failures))
 
     def _call_within(self, share: float, power: float = 1.0) -> None:
         if (settings := self.ctx.settings).asks_discovery:
