Fall back on the usual figures where the system tells no socket or memory sizes

A receive buffer that can't be asked for its size made the limit of what a client may have sent ahead 0, so that nothing would be forwarded once a byte was unread, or raised while the connection opened; resident memory that can't be read made the base of the budget 0, so that the connections might hold all of the limit. Neither was seen: on this system both are told. The fallbacks are the buffer's wanted size and 26 MB.

--- a/woadyard/net/disconnects.py
+++ b/woadyard/net/disconnects.py
@@ -37,10 +37,11 @@
         self.transport, self.poll = transport, select.poll()
         client_socket = transport.get_extra_info("socket")
         self.poll.register(client_socket.fileno(), HALF_CLOSED)
+        size = 0
         with contextlib.suppress(OSError):
             client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        size = client_socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
-        self.max_unread_bytes = int(size * VISIBLE_SHARE)
+            size = client_socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        self.max_unread_bytes = int((size or RECEIVE_BUFFER_BYTES) * VISIBLE_SHARE)
 
     def is_disconnected(self) -> bool:
         if self.transport.is_closing():
--- a/woadyard/net/memory_budget.py
+++ b/woadyard/net/memory_budget.py
@@ -17,17 +17,18 @@
 # Buffers grow by reallocation, and freed ones are not all of a size that the next ones need.
 ALLOCATOR_OVERHEAD = 2.0
 MIN_CAPACITY_BYTES = 256 * 1024
+USUAL_BASE_BYTES = 26 * MEGABYTE
 # Bounds of what one connection reads at once, and may have unwritten before its source is paused.
 MIN_BUFFER_BYTES, MAX_BUFFER_BYTES = 4 * 1024, 32 * 1024
 
 
 def resident_bytes() -> int:
-    """Return the resident memory of this process; 0 where the system does not tell."""
+    """Return the resident memory of this process; the usual one where the system does not tell."""
     try:
         with open("/proc/self/statm", encoding="ascii") as file:
             return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
     except (OSError, ValueError, IndexError):
-        return 0
+        return USUAL_BASE_BYTES
 
 
 @dataclass(slots=True)
