Release the ids of requests that waited in a pipeline when their client left

A client that sends it once more got 409, and such ids push out those of requests that ran.

Change: they are released with the pipeline. test_a_request_that_waited_when_its_client_left_may_come_again: 409 before, served now; the request that was forwarded still gets 409.

--- a/tests/test_pipelined_disconnect.py
+++ b/tests/test_pipelined_disconnect.py
@@ -57,6 +57,28 @@
         client.close()
 
 
+@on_loop
+async def test_a_request_that_waited_when_its_client_left_may_come_again() -> None:
+    """Guards against ids of requests that never ran, which would be rejected and fill the table of ids."""
+    release = asyncio.Event()
+
+    async def respond_when_released(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        if message.headers["x-request-id"] == "first":
+            await release.wait()
+        writer.write(http_response())
+
+    endpoint = Endpoint(respond_when_released)
+    async with run_sidecar(endpoint) as proxy:
+        _, writer = await proxy.connect()
+        writer.write(http_request("pay", rid="first") + http_request("pay", rid="waiting"))
+        await endpoint.request_arrived.acquire()
+        writer.transport.abort()
+        await wait_until(lambda: not proxy.server.connections)
+        assert (await proxy.send(http_request("pay", rid="waiting"))).body == b"ok"
+        assert (await proxy.send(http_request("pay", rid="first"))).start_line.split()[1] == "409"
+        release.set()
+
+
 @on_loop
 async def test_many_requests_ahead_are_all_answered_while_their_client_stays(
     monkeypatch: pytest.MonkeyPatch,
--- a/woadyard/net/client_connection.py
+++ b/woadyard/net/client_connection.py
@@ -99,6 +99,9 @@
     def _cancel_requests(self) -> None:
         self.is_closed = True
         self.pacer.close()
+        for accepted, _ in self.pipelined:
+            if isinstance(accepted, Call):
+                self.requests.release_id(accepted)  # it was not begun, and may come again
         self.pipelined.clear()
         self.server.paused_clients.discard(self)
         self._update_request_timer()
