Wait for an endpoint that hangs in the middle of an answer, whatever came of it

Cause, two limits that take silence for the end: a streamed answer without a byte between two checks 10 s apart had its endpoint's connection closed, and one without a length was given up 4.1 s after its head while 64 KiB or less had come. It is decided in policy/response_relay.py.

--- a/woadyard/net/attempts.py
+++ b/woadyard/net/attempts.py
@@ -109,15 +109,16 @@
         return True
 
     def watch_streaming(self, attempt: Attempt) -> None:
-        """Give up a streamed response that is not a long one when its time is over."""
+        """Give up a streamed response when its time is over; looks again as more of it may have arrived."""
         call = attempt.call
         if call.timer is not None:
             call.timer.cancel()
             call.timer = None
-        due_us = give_up_due_us(attempt.progress, call.expires_us)
-        if due_us is None or not call.is_open or not attempt.in_flight:
+        if not call.is_open or not attempt.in_flight:
             return
-        if now_us() >= due_us:
+        now = now_us()
+        due_us = give_up_due_us(attempt.progress, call.expires_us, now)
+        if now >= due_us:
             self.stop(attempt, TIMEOUT)
         else:
             call.timer = self.dispatcher.call_at(due_us, self.watch_streaming, attempt)
--- a/woadyard/net/endpoint_connection.py
+++ b/woadyard/net/endpoint_connection.py
@@ -312,6 +312,10 @@
 
     def set_reading_paused(self, paused: bool) -> None:
         """Pause or resume reading, so that the endpoint is read no faster than the client reads."""
+        progress = self.reader.progress
+        if progress.is_reading_paused and not paused:
+            progress.resumed_us = self.owner.now()
+        progress.is_reading_paused = paused
         if self.transport is not None and not self.transport.is_closing():
             if paused:
                 self.transport.pause_reading()
--- a/woadyard/net/requests.py
+++ b/woadyard/net/requests.py
@@ -12,7 +12,6 @@
 from woadyard.net.request_ids import RequestIds
 from woadyard.net.request_log import FailureReason, log_request_ended
 from woadyard.net.weight_factors import SharedState
-from woadyard.policy.response_relay import give_up_due_us
 
 
 class Requests:
@@ -94,8 +93,7 @@
         which on requests may not be cut off by the end of the process.
         """
         if (attempt := call.streaming_attempt) is not None:
-            is_long = give_up_due_us(attempt.progress, call.expires_us) is None
-            if call.is_open and call.received_us >= counted_from_us and not is_long:
+            if call.is_open and call.received_us >= counted_from_us and not attempt.progress.is_long:
                 self.stop_attempt(attempt, TIMEOUT)
         elif call.is_open:
             may_have_run = any(attempt.was_written for attempt in call.attempts)
--- a/woadyard/net/streamed_response.py
+++ b/woadyard/net/streamed_response.py
@@ -10,7 +10,8 @@
 class StreamedResponse:
     """Writes the body parts to the client.
 
-    Breaks off once there was no progress for `stall_s`, whichever side holds it up.
+    Breaks off once the client takes nothing for `stall_s`; when the endpoint has hung for too long is decided
+    elsewhere.
     """
 
     __slots__ = (
@@ -37,15 +38,14 @@
             self.transport.write(encode_chunk(data) if self.is_chunked else data)
 
     def check_progress(self) -> None:
-        """Check periodically that bytes reach the client; otherwise end the side that holds them up."""
-        sent_bytes = self.relayed - self.transport.get_write_buffer_size()
-        if sent_bytes != self.last_checked_bytes:
-            self.last_checked_bytes = sent_bytes
-            self.timer = self.loop.call_later(self.stall_s, self.check_progress)
-        elif self.transport.get_write_buffer_size():
+        """Check periodically that bytes reach the client."""
+        unsent_bytes = self.transport.get_write_buffer_size()
+        sent_bytes = self.relayed - unsent_bytes
+        if unsent_bytes and sent_bytes == self.last_checked_bytes:
             self.transport.abort()  # the client reads nothing
-        else:
-            self.source.close()
+            return
+        self.last_checked_bytes = sent_bytes
+        self.timer = self.loop.call_later(self.stall_s, self.check_progress)
 
     def finish(self, is_complete: bool = False) -> None:
         if self.timer is not None:
--- a/woadyard/net/timeouts.py
+++ b/woadyard/net/timeouts.py
@@ -16,7 +16,7 @@
     body_s: float = 1.5
     # Where less arrived, a body may pause for this long: peers that stop are owed an error within 3 s.
     body_pause_s: float = 2.25
-    # A streamed response may make no progress for this long, whichever side holds it up.
+    # A client may take nothing of its responses for this long.
     stall_s: float = 10.0
     # For an idle connection between requests: clients reuse theirs well within this time.
     idle_s: float = 5.0
