Wait for an endpoint that hangs in the middle of a large request

Callers got 503 some 3 to 5 s after an endpoint had stopped reading their large request, though it reads on after its hang: 8 of 8 (20 MB, classes put and pay, none or 1 MB read before a hang of 6.8 or 22 s). Cause: an endpoint that took nothing of a body in two checks 1.5 s apart had failed; the same class as the answers that were cut off. The client's time is not touched: it runs from the moment at which its last byte may have been written, and ends the request as before.

--- a/woadyard/net/client_connection.py
+++ b/woadyard/net/client_connection.py
@@ -272,6 +272,7 @@
                 self.server.paused_clients.add(self)
             else:
                 self.server.paused_clients.discard(self)
+                self.last_read_s = self.loop.time()  # nothing was read in the pause
                 self.transport.resume_reading()
 
     def serve_next(self) -> None:
--- a/woadyard/net/request_timer.py
+++ b/woadyard/net/request_timer.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from woadyard.net.request_parser import RequestParser
-from woadyard.net.timeouts import MAX_STALLED_CHECKS, MIN_BODY_PROGRESS_BYTES, Timeouts
+from woadyard.net.timeouts import MIN_BODY_PROGRESS_BYTES, Timeouts
 
 
 class RequestReader(Protocol):
@@ -31,7 +31,7 @@
     """
 
     __slots__ = (
-        "awaiting_since_s", "handle", "is_in_pause", "last_checked_size", "loop", "reader", "stalled_checks",
+        "awaiting_since_s", "handle", "is_in_pause", "last_checked_size", "loop", "moved_s", "reader",
         "timeouts",
     )  # fmt: skip
 
@@ -39,7 +39,7 @@
         self.loop, self.timeouts, self.reader = loop, timeouts, reader
         self.handle: asyncio.TimerHandle | None = None
         self.awaiting_since_s = 0.0  # on the event loop's clock, while it runs
-        self.stalled_checks = 0  # in a row, of a body that its endpoint does not accept
+        self.moved_s = 0.0  # when the endpoint was last seen not to hold up the body
         self.last_checked_size = 0  # of the body
         self.is_in_pause = False  # the last check let the body pause for longer
 
@@ -50,7 +50,8 @@
     def set_running(self, is_awaiting: bool) -> None:
         """Start the timer if a request is awaited and it does not run, or stop it."""
         if is_awaiting and self.handle is None:
-            self.last_checked_size, self.awaiting_since_s = 0, self.loop.time()
+            self.last_checked_size = 0
+            self.awaiting_since_s = self.moved_s = self.loop.time()
             self.is_in_pause = False
             self.handle = self.loop.call_later(self.timeouts.request_s, self._check)
         elif not is_awaiting and self.handle is not None:
@@ -82,8 +83,10 @@
             return
         self.is_in_pause = False
         # While reading is paused, the endpoint holds up the body, which is its own failure.
-        self.stalled_checks = self.stalled_checks + 1 if is_paused and not new_bytes else 0
+        now_s = self.loop.time()
+        if new_bytes or not is_paused:
+            self.moved_s = now_s
         self.last_checked_size = parser.body_size
         self.handle = self.loop.call_later(self.timeouts.body_s, self._check)
-        if self.stalled_checks >= MAX_STALLED_CHECKS:
+        if now_s >= self.moved_s + self.timeouts.upload_stall_s:
             self.reader.upload_stalled()
--- a/woadyard/net/timeouts.py
+++ b/woadyard/net/timeouts.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from woadyard.policy.response_relay import MAX_SILENCE_US
+
 
 @dataclass(slots=True)
 class Timeouts:
@@ -16,6 +18,8 @@
     body_s: float = 1.5
     # Where less arrived, a body may pause for this long: peers that stop are owed an error within 3 s.
     body_pause_s: float = 2.25
+    # An endpoint that takes nothing of a body for this long has failed.
+    upload_stall_s: float = MAX_SILENCE_US / 1e6
     # A client may take nothing of its responses for this long.
     stall_s: float = 10.0
     # For an idle connection between requests: clients reuse theirs well within this time.
@@ -31,7 +35,5 @@
 
 # Clients send 64 kB per second.
 MIN_BODY_PROGRESS_BYTES = 16 * 1024
-# An endpoint that takes nothing of a body during this many checks in a row has failed.
-MAX_STALLED_CHECKS = 2
 # For a streamed body to arrive; the request's own deadline runs from its last byte.
 MAX_UPLOAD_US = 900_000_000
