Judge a client that reads slowly by what its system has taken, not by the last write

Cause: the sidecar writes on only once a third of the system's send buffer of some 4 MB is free, 21 s of such a client. Where nothing was written between two checks 10 s apart, or 10 s after the last part of an answer, the client counted as one that reads nothing. Now ClientStallTimer also looks at the bytes that the client's system has not acknowledged; a client is given up after 20 s without any change. One timer serves streams, pipelined answers, closes and rejected connections.

--- a/woadyard/net/client_connection.py
+++ b/woadyard/net/client_connection.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from woadyard.net.client_stall import ClientStallTimer
 from woadyard.net.disconnects import DisconnectDetector, reset_connection
 from woadyard.net.event_dispatcher import now_us
 from woadyard.net.message import Call, Response, Upload
@@ -50,13 +51,14 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=self.server.memory.buffer_bytes)
         self.detector = DisconnectDetector(self.transport)
+        self.stall_timer = ClientStallTimer(self.loop, self.transport, self._client_stalled)
         self.server.connection_opened(self)
         self._update_request_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._cancel_requests()
         if self.stall_timer is not None:
-            self.stall_timer.cancel()
+            self.stall_timer.close()
         self.server.connection_closed(self)
         self.parser.close()
         self.upload_deadline = None  # breaks its reference cycle with the connection
@@ -110,8 +112,6 @@
         self.pipelined.clear()
         self.server.paused_clients.discard(self)
         self._update_request_timer()
-        if self.streamed_response is not None:
-            self.streamed_response.finish()
         self.streamed_response = self.upload = None
         if self.call is not None:
             call, self.call = self.call, None
--- a/woadyard/net/response_writer.py
+++ b/woadyard/net/response_writer.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from woadyard.net.client_stall import ClientStallTimer
 from woadyard.net.disconnects import reset_connection
 from woadyard.net.message import Call, EndpointStream, Response, Upload
 from woadyard.net.request_log import CloseReason, log_connection_closed
@@ -29,7 +30,8 @@
         self.keep_alive = True
         self.is_closed = False  # nothing more is read or written
         self.is_writing_paused = False  # the client does not read its responses
-        self.stall_timer: asyncio.TimerHandle | None = None  # runs meanwhile
+        self.stall_timer: ClientStallTimer | None = None  # runs while responses wait to be written
+        self.linger_timer: asyncio.TimerHandle | None = None
 
     # --- The reading half -----------------------------------------------------------
 
@@ -68,12 +70,10 @@
             framing = b"Content-Length: %d\r\n" % length
         close = b"" if self._stays_open() else b"Connection: close\r\n"
         self.transport.write(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (framing, response.header_lines, close))
-        stall_s = self.server.timeouts.stall_s
-        self.streamed_response = StreamedResponse(self.loop, self.transport, source, is_chunked, stall_s)
+        self.streamed_response = StreamedResponse(self.transport, source, is_chunked)
         if response.body:
             self.streamed_response.send_part(response.body)
         self._update_request_timer()
-        self.streamed_response.check_progress()
 
     def send_body_part(self, data: bytes) -> None:
         if self.streamed_response is not None:
@@ -83,7 +83,8 @@
         """End a streamed response; if it is incomplete, the connection is reset to show that."""
         call, self.call = self.call, None
         if self.streamed_response is not None:
-            self.streamed_response.finish(is_complete)
+            if is_complete:
+                self.streamed_response.finish()
             self.streamed_response = None
         if self.transport is None or self.transport.is_closing():
             return
@@ -92,24 +93,30 @@
             log_connection_closed(call, CloseReason.CUT_SHORT)
             reset_connection(self.transport)
             return
-        if self.is_writing_paused:  # the unwritten rest is still subject to the timeout
-            self.pause_writing()
         self._response_written(self._stays_open() and self.upload is None)
         self._schedule_next()
 
     def pause_writing(self) -> None:
         """Bounds memory: a client that does not read is not served, and is aborted after a while."""
         self.is_writing_paused = True
+        self.watch_client()
         if self.streamed_response is not None:
             self.streamed_response.source.set_reading_paused(True)
-        elif self.transport is not None and self.stall_timer is None:
-            self.stall_timer = self.loop.call_later(self.server.timeouts.stall_s, self.abort)
+
+    def watch_client(self) -> None:
+        """End the connection if the client takes nothing of what is still unwritten."""
+        if self.stall_timer is not None:
+            self.stall_timer.start(self.server.timeouts.stall_s)
+
+    def _client_stalled(self) -> None:
+        if self.streamed_response is None or self.transport is None:
+            self.abort()
+            return
+        log_connection_closed(self.call, CloseReason.STALLED)
+        reset_connection(self.transport)  # a plain close may look like the end of the response
 
     def resume_writing(self) -> None:
         self.is_writing_paused = False
-        if self.stall_timer is not None:
-            self.stall_timer.cancel()
-            self.stall_timer = None
         if self.streamed_response is not None:
             self.streamed_response.source.set_reading_paused(False)
         else:
@@ -125,8 +132,15 @@
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self._mark_lingering()
-        timeouts = self.server.timeouts  # a response that is read slowly gets its time
-        self.loop.call_later(timeouts.linger_s if self.is_flushed else timeouts.stall_s, self.abort)
+        self.watch_client()
+        self.linger_timer = self.loop.call_later(self.server.timeouts.linger_s, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Abort the connection once all is written: a response that is read slowly gets its time."""
+        if self.is_flushed:
+            self.abort()
+        else:
+            self.linger_timer = self.loop.call_later(self.server.timeouts.linger_s, self._end_linger)
 
     @property
     def is_flushed(self) -> bool:
--- a/woadyard/net/server.py
+++ b/woadyard/net/server.py
@@ -329,10 +329,7 @@
         connection.is_closed = True
         if connection.transport is not None:
             connection.transport.close()
-            if connection.transport.get_write_buffer_size():  # a client that never reads would stay forever
-                self.driver.loop.call_later(
-                    self.timeouts.stall_s, self.abort_connection, connection, CloseReason.STALLED
-                )
+            connection.watch_client()  # one that never reads would stay forever
 
     def _stop_listening(self, not_before_s: float) -> None:
         """Close the listener once the last connection had time to send its request."""
--- a/woadyard/net/timeouts.py
+++ b/woadyard/net/timeouts.py
@@ -20,8 +20,9 @@
     body_pause_s: float = 2.25
     # An endpoint that takes nothing of a body for this long has failed.
     upload_stall_s: float = MAX_SILENCE_US / 1e6
-    # A client may take nothing of its responses for this long.
-    stall_s: float = 10.0
+    # A client may take nothing of its responses for this long. At 64 kB a second its system tells
+    # of what it has taken about every 12 s.
+    stall_s: float = 20.0
     # For an idle connection between requests: clients reuse theirs well within this time.
     idle_s: float = 5.0
     # At the socket limit, connections whose request has been awaited for this long are closed
