--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import Any
 
 import pytest
 
-from tests.sockets import Endpoint, Message, Writer, http_request, http_response, on_loop, run_sidecar
+from tests.sockets import (
+    Endpoint,
+    Message,
+    Writer,
+    http_request,
+    http_response,
+    on_loop,
+    run_sidecar,
+    wait_until,
+)
 from woadyard.interface import EndReason
 
 
@@ -56,3 +66,24 @@
     assert repeated and all((each["request"], each["after"]) == ("again", "error") for each in repeated)
     (refused,) = lines(caplog, "request refused")
     assert (refused["request"], refused["why"]) == ("again", EndReason.NO_ENDPOINT)
+
+
+@on_loop
+async def flood_and_leave(requests: int) -> None:
+    async with run_sidecar() as proxy:
+        proxy.server.timeouts.linger_s = 0.02
+        for _ in range(requests):
+            reader, writer = await proxy.connect()
+            writer.write(b"NOT HTTP AT ALL\r\n\r\n")
+            await reader.read()
+            writer.close()
+        await wait_until(lambda: not proxy.server.connections)
+        await asyncio.sleep(2 * proxy.server.timeouts.linger_s)
+
+
+def test_a_rejected_client_that_has_left_is_not_logged_again(caplog: pytest.LogCaptureFixture) -> None:
+    # Guards against a line for a connection that is long gone, beside that of its rejected request.
+    caplog.set_level(logging.INFO, "woadyard")
+    flood_and_leave(3)
+    assert len(lines(caplog, "request rejected")) == 3
+    assert not lines(caplog, "client connection closed")
--- a/woadyard/net/client_connection.py
+++ b/woadyard/net/client_connection.py
@@ -59,6 +59,8 @@
         self._cancel_requests()
         if self.stall_timer is not None:
             self.stall_timer.close()
+        if self.linger_timer is not None:
+            self.linger_timer.cancel()
         self.server.connection_closed(self)
         self.parser.close()
         self.upload_deadline = None  # breaks its reference cycle with the connection
