Read a pooled endpoint connection again if its last response ended while reading was paused

Shown by pausing it by hand before the last byte: the second request got a 503; not seen in service. Now a connection that goes back to the pool is read. test_a_connection_whose_reading_was_paused_is_read_again_for_the_next_response failed before, passes now.

--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -164,3 +164,29 @@
             connection.idle_since_s -= 24.0
         await sidecar.send(http_request(rid="r2"))
         assert endpoint.connection_count == 2
+
+
+@on_loop
+async def test_a_connection_whose_reading_was_paused_is_read_again_for_the_next_response() -> None:
+    # Guards against a pooled connection that is never read, where the last part met a slow client.
+    body = b"b" * 100_000
+    raw = http_response(body=body)
+
+    async def reply(endpoint: Endpoint, message: Message, writer: Writer) -> None:
+        writer.write(raw[:-1] if message.headers["x-request-id"] == "first" else http_response())
+
+    endpoint = Endpoint(reply)
+    async with run_sidecar(endpoint) as proxy:
+        first = asyncio.create_task(proxy.send(http_request(rid="first")))
+        await wait_until(
+            lambda: any(
+                each.reader.progress.body_bytes == len(body) - 1
+                for each in proxy.upstream.endpoint_connections
+            )
+        )
+        (connection,) = proxy.upstream.endpoint_connections
+        connection.set_reading_paused(True)
+        connection.feed_response(raw[-1:])
+        assert (await first).body == body
+        assert (await proxy.send(http_request(rid="second", deadline_ms=1_000))).body == b"ok"
+        assert list(proxy.upstream.endpoint_connections) == [connection], "the same connection"
--- a/woadyard/net/endpoint_connection.py
+++ b/woadyard/net/endpoint_connection.py
@@ -188,6 +188,7 @@
         if self.pool.is_closed or self.transport is None or self.transport.is_closing():
             self.close()
             return
+        self.set_reading_paused(False)  # the last part may have met a slow client
         self.reader.reset()
         self.pool.idle.append(self)
         self.idle_since_s = self.owner.loop.time()
