Shut out a sidecar only once the others have reported since it fell behind

Cause: the share of the fleet that is behind was judged on part of a round of reports. Runs that had not reported since, or were sent the list just now, counted as not behind; the next report began the hold. Now those count as possibly behind for this decision, and a run is shut out only if even so no more are behind than may be shut out.

--- a/tests/test_audit_stragglers.py
+++ b/tests/test_audit_stragglers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from woadyard.audit import Position
 from woadyard.audit.straggler import Fleet, HeadHistory, StragglerRules, TrackedRun
 
@@ -65,6 +67,27 @@
     assert fleet.is_held and "shut out" not in states(fleet)  # and the shut-out is lifted
 
 
+@pytest.mark.parametrize("others_report_ms", [None, 7_800])
+def test_no_run_is_shut_out_before_the_others_have_reported(others_report_ms: int | None) -> None:
+    # Guards against a shut-out on part of a round of reports, which the hold would take back.
+    rules = StragglerRules(behind_ms=1_500, shut_out_ms=6_000, bring_ups=100)
+    fleet = Fleet(rules, fleet_of(5).tracked_runs)
+    drive(fleet, {f"n{n}": 0 for n in range(3)}, 1_000, 2_000)  # their last reports but those of n1
+    shut_out_ms = None
+    for now_ms in range(2_000, 20_000, 1_000):
+        if others_report_ms is not None and now_ms - 1_000 < others_report_ms <= now_ms:
+            for key in ("n0", "n2"):  # sent the list just now: they may recover yet
+                fleet.record_report(key, others_report_ms, others_report_ms).begin_bring_up()
+        for key in ("n1", "n3", "n4"):
+            fleet.record_report(key, now_ms if key == "n1" else 0, now_ms).begin_bring_up()
+        if shut_out_ms is None and "shut out" in states(fleet):
+            shut_out_ms = now_ms
+    if others_report_ms is None:  # runs that are silent protect nobody for ever
+        assert shut_out_ms == 1_000 + rules.silent_ms + 1_000
+    else:
+        assert shut_out_ms is None and fleet.is_held
+
+
 def test_second_run_that_recovers_at_once_releases_no_shut_out() -> None:
     fleet = fleet_of(5)
     drive(fleet, {"n0": 0}, 1000, 30_000)
--- a/woadyard/audit/straggler.py
+++ b/woadyard/audit/straggler.py
@@ -120,24 +120,38 @@
         run.record_report(lag_ms, now_ms, self.rules)
         if self.is_held or run.state != CURRENT:
             self.update_hold(now_ms)
-        if run.is_overdue and not self.is_held and run.state == BROUGHT_UP:
+        if run.is_overdue and not self.is_held and run.state == BROUGHT_UP and self._is_alone(run, now_ms):
             run.state, run.reports_at_head = SHUT_OUT, 0
         return run
 
+    def _live_runs(self, now_ms: int) -> list[TrackedRun]:
+        return [
+            run for run in self.tracked_runs.values()
+            if now_ms - run.last_report_ms <= self.rules.silent_ms or run.state == SHUT_OUT
+        ]  # fmt: skip
+
+    def _max_shut_out(self, live: list[TrackedRun]) -> int:
+        return max(1, int(self.rules.shut_out_share * len(live)))
+
+    def _is_alone(self, overdue: TrackedRun, now_ms: int) -> bool:
+        """Whether no more runs can be behind than may be shut out, whatever those report next that have not
+        reported since this one fell behind, or were sent the list just now."""
+        live = self._live_runs(now_ms)
+        may_be_behind = [
+            run for run in live if run.state != CURRENT or run.last_report_ms < overdue.behind_since_ms
+        ]
+        return len(may_be_behind) <= self._max_shut_out(live)
+
     def update_hold(self, now_ms: int) -> None:
         """Hold the fleet while so many runs are behind that the fault must lie elsewhere.
 
         The hold ends once their number has been within the allowed share for `behind_ms`."""
-        live = [
-            run for run in self.tracked_runs.values()
-            if now_ms - run.last_report_ms <= self.rules.silent_ms or run.state == SHUT_OUT
-        ]  # fmt: skip
+        live = self._live_runs(now_ms)
         # A run that recovers after its first bring-up is no sign of a common fault.
         lagging = [
             run for run in live if run.state == SHUT_OUT or run.is_bring_up_failing(now_ms, self.rules)
         ]
-        max_shut_out = max(1, int(self.rules.shut_out_share * len(live)))
-        if len(lagging) > max_shut_out:
+        if len(lagging) > self._max_shut_out(live):
             self.is_held, self.last_excess_ms = True, now_ms
             for run in lagging:
                 if run.state == SHUT_OUT:
