Run four clients for each sidecar in the soak, which a hanging endpoint no longer leaves idle

Trace: two clients a sidecar, one request at a time; one that meets a hanging endpoint waits for its deadline, or 3 s, and then opens another connection.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -50,7 +50,7 @@
 INVARIANTS = {"drain-grace-us": 250_000, "ask-within-us": 3_000_000}
 SITE = {**SETTINGS, "classes": CLASSES, "discovery": "ask", "invariants": INVARIANTS, "stage": 0}
 # A client's pause between requests, and the share of requests that it drops by disconnecting.
-CLIENT_PAUSE_S, DISCONNECT_SHARE = 0.04, 0.03
+CLIENT_PAUSE_S, DISCONNECT_SHARE, CLIENTS_PER_SIDECAR = 0.04, 0.03, 4
 SIDECAR_PAUSE_S = 0.15
 CLIENT_TIMEOUT_S = 60.0
 # A client sends its next request on another connection once an answer takes longer than this.
@@ -111,7 +111,7 @@
         clients = [
             asyncio.ensure_future(self._run_client(sidecar, n))
             for sidecar in self.sidecar_processes
-            for n in range(2)
+            for n in range(CLIENTS_PER_SIDECAR)
         ]
         await self._inject_faults()
         self.directory.set_fault(DiscoveryFault.FAIR)
